Add the design page, the build and the base, world, platform and fakes libraries

Cause: the project starts; every later part needs the shared value types, the ports to the platform and the virtual clock. Change: design.md states invariants, protocols, failure behaviour and targets; the build has formatter, linter, clang and sanitizer targets; the fakes keep their own record of what ran, so that checkers need not trust the scheduler. Ruled out: absl::StrCat with std::string_view, because Debian's Abseil keeps its own string_view type; absl::StrFormat accepts both.

--- /dev/null
+++ b/include/hyssoppond/base/environment_type.h
@@ -0,0 +1,18 @@
+/// @file Time and randomness as hooks, so that decisions can run in virtual time with a fixed seed.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+
+namespace hyssoppond {
+
+/// What a state machine may learn from outside besides its messages.
+struct environment
+{
+    std::function<absl::Time()> now;
+    std::function<std::uint64_t()> random; ///< uniform over all 64-bit values
+};
+
+} // namespace hyssoppond
--- /dev/null
+++ b/include/hyssoppond/platform/runner_port.h
@@ -0,0 +1,31 @@
+/// @file Interface to a runner of the platform.
+#pragma once
+
+#include "hyssoppond/base/error_type.h"
+#include "hyssoppond/base/id_type.h"
+
+#include <functional>
+#include <string>
+
+namespace hyssoppond {
+
+/// A call as the runner gets it.
+struct runner_call
+{
+    request_id request; ///< passed on for the runner's own records
+    std::string payload;
+    absl::Time deadline;
+};
+
+/// One runner. It keeps no record of ids: a call that is sent twice runs twice.
+class runner_port
+{
+public:
+    virtual ~runner_port() = default;
+
+    /// Runs one call; completes with the answer. execution::NotRun in the error means that the
+    /// runner certainly did not begin.
+    virtual void call(runner_call what, std::function<void(result<std::string>)> done) = 0;
+};
+
+} // namespace hyssoppond
--- /dev/null
+++ b/src/base/counters.cpp
@@ -0,0 +1,133 @@
+/// @file Implementation of the counter registry on Boost.Histogram.
+#include "hyssoppond/base/counters_base.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <boost/histogram.hpp>
+
+#include <cmath>
+
+namespace hyssoppond {
+
+namespace bh = boost::histogram;
+
+namespace {
+
+constexpr double SmallestLatency = 1e-4; // seconds
+constexpr double LargestLatency = 1e4;   // seconds
+constexpr unsigned LatencyBins = 80; // ten per decade: a quantile is within 26% of the true value
+
+using latency_axis = bh::axis::regular<double, bh::axis::transform::log>;
+
+} // namespace
+
+struct counter_registry::histogram
+{
+    decltype(bh::make_histogram(latency_axis(1, 1.0, 2.0))) bins
+        = bh::make_histogram(latency_axis(LatencyBins, SmallestLatency, LargestLatency));
+    double sum = 0; ///< seconds
+    std::uint64_t count = 0;
+};
+
+counter_registry::counter_registry() = default;
+counter_registry::~counter_registry() = default;
+
+void counter_registry::count(event what, reason why)
+{
+    const absl::MutexLock lock(&m_mutex);
+    ++m_reasons[{what, why}];
+}
+
+void counter_registry::add(std::string_view name, std::uint64_t amount)
+{
+    const absl::MutexLock lock(&m_mutex);
+    auto it = m_counters.find(name);
+    if (it == m_counters.end())
+        it = m_counters.emplace(name, 0).first;
+    it->second += amount;
+}
+
+void counter_registry::set(std::string_view name, double value)
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_gauges.insert_or_assign(std::string(name), value);
+}
+
+void counter_registry::observe(std::string_view name, absl::Duration latency)
+{
+    const absl::MutexLock lock(&m_mutex);
+    auto it = m_histograms.find(name);
+    if (it == m_histograms.end())
+        it = m_histograms.emplace(name, std::make_unique<histogram>()).first;
+    const double seconds = absl::ToDoubleSeconds(latency);
+    it->second->bins(std::max(seconds, SmallestLatency));
+    it->second->sum += seconds;
+    ++it->second->count;
+}
+
+std::uint64_t counter_registry::value(event what, reason why) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto it = m_reasons.find({what, why});
+    return it == m_reasons.end() ? 0 : it->second;
+}
+
+std::uint64_t counter_registry::value(std::string_view name) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto it = m_counters.find(name);
+    return it == m_counters.end() ? 0 : it->second;
+}
+
+absl::Duration counter_registry::quantile(std::string_view name, double q) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto it = m_histograms.find(name);
+    if (it == m_histograms.end() || it->second->count == 0)
+        return absl::ZeroDuration();
+    const double wanted = q * static_cast<double>(it->second->count);
+    double seen = 0;
+    for (const auto &bin : bh::indexed(it->second->bins, bh::coverage::all)) {
+        seen += *bin;
+        if (seen >= wanted)
+            return absl::Seconds(std::min(bin.bin().upper(), LargestLatency));
+    }
+    return absl::Seconds(LargestLatency);
+}
+
+std::string counter_registry::renderPrometheus() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    std::string text = "# TYPE hyssoppond_reason_total counter\n";
+    for (const auto &[key, count] : m_reasons) {
+        absl::StrAppendFormat(&text, "hyssoppond_reason_total{event=\"%s\",reason=\"%s\"} %d\n",
+                              EventNames.name(key.first), ReasonNames.name(key.second), count);
+    }
+    for (const auto &[name, count] : m_counters) {
+        absl::StrAppend(&text, "# TYPE hyssoppond_", name, "_total counter\nhyssoppond_", name,
+                        "_total ", count, "\n");
+    }
+    for (const auto &[name, value] : m_gauges) {
+        absl::StrAppend(&text, "# TYPE hyssoppond_", name, " gauge\nhyssoppond_", name, " ", value,
+                        "\n");
+    }
+    for (const auto &[name, data] : m_histograms) {
+        absl::StrAppend(&text, "# TYPE hyssoppond_", name, "_seconds histogram\n");
+        double seen = 0;
+        for (const auto &bin : bh::indexed(data->bins, bh::coverage::all)) {
+            seen += *bin;
+            // Only every tenth edge is listed, to keep the page small.
+            if (bin.index() >= 0 && bin.index() < static_cast<int>(LatencyBins)
+                && bin.index() % 10 == 9) {
+                absl::StrAppend(&text, "hyssoppond_", name, "_seconds_bucket{le=\"",
+                                bin.bin().upper(), "\"} ", seen, "\n");
+            }
+        }
+        absl::StrAppend(&text, "hyssoppond_", name, "_seconds_bucket{le=\"+Inf\"} ", data->count,
+                        "\nhyssoppond_", name, "_seconds_sum ", data->sum, "\nhyssoppond_", name,
+                        "_seconds_count ", data->count, "\n");
+    }
+    return text;
+}
+
+} // namespace hyssoppond
--- /dev/null
+++ b/tests/base_test.cpp
@@ -0,0 +1,48 @@
+/// @file Tests of the base library.
+#include "hyssoppond/base/counters_base.h"
+#include "hyssoppond/base/error_type.h"
+#include "hyssoppond/base/id_type.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace hyssoppond {
+namespace {
+
+// Guards against an enumerator without a name: a counter would then appear as an empty label.
+TEST(ReasonNamesTest, EachReasonHasItsOwnName)
+{
+    std::set<std::string_view> names(ReasonNames.names.begin(), ReasonNames.names.end());
+    EXPECT_EQ(names.size(), ReasonNames.names.size());
+    EXPECT_FALSE(names.contains(""));
+    EXPECT_EQ(ReasonNames.name(reason::Internal), "Internal");
+    EXPECT_EQ(ReasonNames.find("LogUnavailable"), reason::LogUnavailable);
+    EXPECT_EQ(ReasonNames.find("no such reason"), std::nullopt);
+}
+
+// Guards against a refusal that is not visible to the operator.
+TEST(CounterRegistryTest, RendersReasonsCountersAndHistograms)
+{
+    counter_registry counters;
+    counters.count(event::Refused, reason::QueueFull);
+    counters.count(event::Refused, reason::QueueFull);
+    counters.add("appends", 3);
+    counters.set("queued_jobs", 7);
+    for (int i = 1; i <= 100; ++i)
+        counters.observe("call", absl::Milliseconds(i));
+    EXPECT_EQ(counters.value(event::Refused, reason::QueueFull), 2);
+    const std::string text = counters.renderPrometheus();
+    EXPECT_THAT(
+        text,
+        testing::HasSubstr("hyssoppond_reason_total{event=\"refused\",reason=\"QueueFull\"} 2"));
+    EXPECT_THAT(text, testing::HasSubstr("hyssoppond_appends_total 3"));
+    EXPECT_THAT(text, testing::HasSubstr("hyssoppond_queued_jobs 7"));
+    EXPECT_THAT(text, testing::HasSubstr("hyssoppond_call_seconds_count 100"));
+    EXPECT_GE(counters.quantile("call", 0.5), absl::Milliseconds(50));
+    EXPECT_LE(counters.quantile("call", 0.5), absl::Milliseconds(63));
+}
+
+} // namespace
+} // namespace hyssoppond
