--- a/include/hyssoppond/base/error_type.h
+++ b/include/hyssoppond/base/error_type.h
@@ -29,6 +29,7 @@
     std::string message; ///< names what is wrong and the remedy
     execution state = execution::NotRun;
     absl::Time retryAt = absl::InfiniteFuture(); ///< InfiniteFuture: a repetition does not help
+    std::uint64_t winningVersion = 0; ///< for reason::VersionConflict: the version in force
 };
 
 /// Value of an operation that can fail.
@@ -40,7 +41,7 @@
                                   execution state = execution::NotRun,
                                   absl::Time retryAt = absl::InfiniteFuture())
 {
-    return tl::unexpected<error>(error {why, std::move(message), state, retryAt});
+    return tl::unexpected<error>(error {why, std::move(message), state, retryAt, 0});
 }
 
 } // namespace hyssoppond
--- a/tests/base_test.cpp
+++ b/tests/base_test.cpp
@@ -2,6 +2,7 @@
 #include "hyssoppond/base/counters_base.h"
 #include "hyssoppond/base/error_type.h"
 #include "hyssoppond/base/id_type.h"
+#include "hyssoppond/base/settings_base.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -44,5 +45,48 @@
     EXPECT_LE(counters.quantile("call", 0.5), absl::Milliseconds(63));
 }
 
+const std::vector<setting_rule> &testRules()
+{
+    static const std::vector<setting_rule> rules {
+        {"role", setting_kind::Text, "", "role", 0, 0, {"entry", "agent"}, true},
+        {"lease-seconds", setting_kind::Number, "3", "lease in seconds", 1, 60},
+        {"listen", setting_kind::Address, "127.0.0.1:7000", "address"},
+        {"seeds", setting_kind::AddressList, "", "addresses"},
+        {"password", setting_kind::Text, "", "secret", 0, 0, {}, false, true},
+    };
+    return rules;
+}
+
+// Guards against a start that reports one fault at a time, or prints a secret.
+TEST(SettingsTest, ListsAllFaultsAtOnce)
+{
+    const char *argv[] = {"p",       "--lease-seconds", "61", "--listen", "localhost:7000",
+                          "--seeds", "127.0.0.1:1,bad"};
+    const auto values
+        = settings::read(testRules(), 7, argv, [](const auto &) { return std::nullopt; });
+    ASSERT_FALSE(values);
+    for (const char *part : {"4 settings", "--role", "one of entry, agent", "--lease-seconds",
+                             "from 1 to 60", "HYSSOPPOND_LISTEN", "--seeds"})
+        EXPECT_THAT(values.error().message, testing::HasSubstr(part));
+}
+
+// Guards against a flag that does not go before the environment variable.
+TEST(SettingsTest, FlagsGoBeforeTheEnvironment)
+{
+    const char *argv[] = {"p", "--role=agent", "--password", "hidden", "--seeds", "[::1]:5"};
+    const auto values = settings::read(testRules(), 6, argv, [](const std::string &name) {
+        return name == "HYSSOPPOND_ROLE"         ? std::optional<std::string>("entry")
+            : name == "HYSSOPPOND_LEASE_SECONDS" ? std::optional<std::string>("7")
+                                                 : std::nullopt;
+    });
+    ASSERT_TRUE(values) << values.error().message;
+    EXPECT_EQ(values->text("role"), "agent");
+    EXPECT_EQ(values->number("lease-seconds"), 7);
+    EXPECT_EQ(values->addresses("seeds").at(0).host, "::1");
+    EXPECT_THAT(values->describe(), testing::Not(testing::HasSubstr("hidden")));
+    const char *unknown[] = {"p", "--rolle=agent"};
+    EXPECT_FALSE(settings::read(testRules(), 2, unknown, processEnvironment));
+}
+
 } // namespace
 } // namespace hyssoppond
--- /dev/null
+++ b/tests/rpc_test.cpp
@@ -0,0 +1,213 @@
+/// @file Tests of the remote procedure calls over loopback.
+#include "hyssoppond/rpc/rpc_client_base.h"
+#include "hyssoppond/rpc/rpc_server_base.h"
+
+#include "rpc_codec_func.h"
+
+#include <absl/synchronization/notification.h>
+#include <absl/time/clock.h>
+#include <curl/curl.h>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <random>
+#include <thread>
+
+namespace hyssoppond {
+namespace {
+
+absl::Time in(int seconds)
+{
+    return absl::Now() + absl::Seconds(seconds);
+}
+
+std::size_t append(char *data, std::size_t size, std::size_t count, void *target)
+{
+    static_cast<std::string *>(target)->append(data, size * count);
+    return size * count;
+}
+
+/// A plain HTTP client, independent of rpc_client. Returns status and body.
+std::pair<long, std::string> post(std::uint16_t port, const std::string &path,
+                                  const std::string &type, const std::string &body)
+{
+    CURL *curl = curl_easy_init();
+    std::string answer;
+    const std::string url = "http://127.0.0.1:" + std::to_string(port) + path;
+    curl_slist *headers = curl_slist_append(nullptr, ("Content-Type: " + type).c_str());
+    curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body.data());
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &append);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &answer);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 10000L);
+    curl_easy_perform(curl);
+    long status = 0;
+    curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+    curl_slist_free_all(headers);
+    curl_easy_cleanup(curl);
+    return {status, answer};
+}
+
+/// Server with one procedure that echoes the team as the job's team.
+class rpc_test_fixture : public testing::Test
+{
+protected:
+    rpc_test_fixture()
+        : m_server({{"127.0.0.1", 0}, 100'000}, &m_counters)
+    {
+        m_server.add(makeMethod<v1::SubmitRequest, v1::SubmitResponse>(
+            "/hyssoppond.v1.Jobs/Submit", [this](const auto &request, auto reply) {
+                ++m_calls;
+                if (request.team() == "none") {
+                    reply(fail(reason::UnknownTeam, "no team none; publish team/none"));
+                    return;
+                }
+                v1::SubmitResponse response;
+                response.mutable_job()->set_team(request.team());
+                // Answers on another thread, as the daemon does.
+                m_threads.emplace_back([reply, response] { reply(response); });
+            }));
+        m_server.addPage("/metrics",
+                         [this] { return http_page {.body = m_counters.renderPrometheus()}; });
+        EXPECT_TRUE(m_server.start().has_value());
+    }
+    ~rpc_test_fixture() override
+    {
+        for (std::thread &thread : m_threads)
+            thread.join();
+    }
+
+    counter_registry m_counters;
+    rpc_server m_server;
+    std::vector<std::thread> m_threads;
+    int m_calls = 0;
+};
+
+// Guards against an encoding that loses fields or the typed error.
+TEST_F(rpc_test_fixture, CarriesMessagesAndErrorsInBothEncodings)
+{
+    for (const bool json : {false, true}) {
+        rpc_client_options options {{{"127.0.0.1", m_server.port()}}, json};
+        rpc_client rpc(options);
+        v1::SubmitRequest request;
+        request.set_team("north");
+        v1::SubmitResponse response;
+        ASSERT_TRUE(rpc.call("/hyssoppond.v1.Jobs/Submit", request, &response, in(10),
+                             repetition::Allowed));
+        EXPECT_EQ(response.job().team(), "north");
+        request.set_team("none");
+        const auto refused = rpc.call("/hyssoppond.v1.Jobs/Submit", request, &response, in(10),
+                                      repetition::Allowed);
+        ASSERT_FALSE(refused);
+        EXPECT_EQ(refused.error().why, reason::UnknownTeam);
+        EXPECT_EQ(refused.error().state, execution::NotRun);
+        EXPECT_EQ(refused.error().retryAt, absl::InfiniteFuture());
+    }
+    EXPECT_EQ(m_counters.value(event::Refused, reason::UnknownTeam), 2);
+}
+
+// Guards against bad input that reaches a handler or is answered without a remedy.
+TEST_F(rpc_test_fixture, RefusesBadInputWithTypedErrors)
+{
+    const std::string json = "application/json";
+    const std::string binary = "application/x-protobuf";
+    const std::string submit = "/hyssoppond.v1.Jobs/Submit";
+    struct bad_input
+    {
+        std::string path, type, body;
+        long status;
+        std::string reason;
+    };
+    const std::vector<bad_input> inputs {
+        {submit, json, R"({"taem":"north"})", 400, "UnknownField"},
+        {submit, json, R"({"team":)", 400, "MalformedRequest"},
+        {submit, json, R"({"shape":{"members":-1}})", 400, "MalformedRequest"},
+        {submit, json, R"({"shape":{"members":99999999999}})", 400, "MalformedRequest"},
+        {submit, json, "{\"team\":\"\xff\xfe\"}", 400, "MalformedRequest"},
+        {submit, binary, "\x12\x05north-cut-short\xff", 400, "MalformedRequest"},
+        {submit, binary, "\x12\x02\xff\xfe", 400, "MalformedRequest"},
+        {submit, binary, "\xf8\x3f\x01", 400, "UnknownField"},
+        {submit, json, std::string(200'000, ' '), 413, "BodyTooLarge"},
+        {"/hyssoppond.v2.Jobs/Submit", json, "{}", 400, "UnsupportedVersion"},
+        {"/hyssoppond.v1.Jobs/Sumbit", json, "{}", 400, "InvalidArgument"},
+    };
+    for (const bad_input &input : inputs) {
+        const auto [status, body] = post(m_server.port(), input.path, input.type, input.body);
+        EXPECT_EQ(status, input.status) << input.body;
+        EXPECT_THAT(body, testing::HasSubstr(input.reason));
+    }
+    EXPECT_EQ(m_calls, 0);
+    EXPECT_GE(m_counters.value(event::Refused, reason::MalformedRequest), 6);
+}
+
+// Guards against a decoder that crashes or accepts garbage as something else than a message.
+TEST(RpcCodecTest, SurvivesRandomAndMutatedInput)
+{
+    std::mt19937_64 random(7);
+    v1::SubmitRequest valid;
+    valid.set_team("north");
+    valid.mutable_shape()->set_members(4);
+    for (int i = 0; i < 20'000; ++i) {
+        const auto encoding = i % 2 == 0 ? body_encoding::Json : body_encoding::Binary;
+        std::string body = encodeBody(valid, encoding);
+        for (std::uint64_t change = random() % 4; change > 0 && !body.empty(); --change)
+            body[random() % body.size()] = static_cast<char>(random());
+        body.resize(random() % (body.size() + 1));
+        v1::SubmitRequest decoded;
+        const auto outcome = decodeBody(body, encoding, &decoded);
+        if (!outcome) {
+            EXPECT_FALSE(outcome.error().message.empty());
+        }
+    }
+}
+
+// Guards against a client that gives up although another entry would answer.
+TEST_F(rpc_test_fixture, SkipsAnEntryThatCannotBeReached)
+{
+    rpc_client_options options;
+    options.entries = {{"127.0.0.1", 1}, {"127.0.0.1", m_server.port()}};
+    for (int i = 0; i < 4; ++i) {
+        rpc_client rpc(options);
+        v1::SubmitRequest request;
+        v1::SubmitResponse response;
+        EXPECT_TRUE(rpc.call("/hyssoppond.v1.Jobs/Submit", request, &response, in(10),
+                             repetition::Forbidden));
+    }
+    rpc_client rpc(options);
+    EXPECT_THAT(*rpc.get("/metrics", in(10)), testing::HasSubstr("hyssoppond_reason_total"));
+}
+
+// Guards against a shutdown that cuts a request in flight.
+TEST(RpcServerTest, StopWaitsForRequestsInFlight)
+{
+    counter_registry counters;
+    rpc_server server({{"127.0.0.1", 0}}, &counters);
+    absl::Notification arrived;
+    std::function<void(result<v1::Job>)> answer;
+    server.add(makeMethod<v1::JobRequest, v1::Job>("/hyssoppond.v1.Jobs/Status",
+                                                   [&](const auto &, auto reply) {
+                                                       answer = reply;
+                                                       arrived.Notify();
+                                                   }));
+    ASSERT_TRUE(server.start());
+    rpc_client rpc({{{"127.0.0.1", server.port()}}});
+    std::thread caller([&] {
+        v1::Job job;
+        EXPECT_TRUE(rpc.call("/hyssoppond.v1.Jobs/Status", v1::JobRequest(), &job, in(20),
+                             repetition::Forbidden));
+        EXPECT_EQ(job.id(), "j");
+    });
+    arrived.WaitForNotification();
+    std::thread stopper([&] { server.stop(in(20)); });
+    v1::Job job;
+    job.set_id("j");
+    answer(job);
+    caller.join();
+    stopper.join();
+}
+
+} // namespace
+} // namespace hyssoppond
