--- /dev/null
+++ b/include/hyssoppond/base/bounded_archive_base.h
@@ -0,0 +1,90 @@
+/// @file Input archive of cereal for untrusted bytes.
+#pragma once
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/cereal.hpp>
+
+#include <bit>
+#include <cstdint>
+#include <cstring>
+#include <string_view>
+
+namespace hyssoppond {
+
+/// Reads what cereal's PortableBinaryOutputArchive wrote on a little-endian machine. A container
+/// size larger than the remaining input throws cereal::Exception; cereal's own archive would
+/// allocate the claimed size first.
+class bounded_input_archive
+    : public cereal::InputArchive<bounded_input_archive, cereal::AllowEmptyClassElision>
+{
+public:
+    explicit bounded_input_archive(std::string_view bytes)
+        : cereal::InputArchive<bounded_input_archive, cereal::AllowEmptyClassElision>(this)
+        , m_rest(bytes)
+    {
+        static_assert(std::endian::native == std::endian::little);
+        std::uint8_t littleEndian = 0;
+        readBytes(&littleEndian, 1);
+        if (littleEndian != 1)
+            throw cereal::Exception("archive is not little-endian");
+    }
+
+    std::size_t remaining() const { return m_rest.size(); }
+
+    /// Copies the next `size` bytes; throws if there are fewer.
+    void readBytes(void *target, std::size_t size)
+    {
+        if (size > m_rest.size())
+            throw cereal::Exception("input is truncated");
+        std::memcpy(target, m_rest.data(), size);
+        m_rest.remove_prefix(size);
+    }
+
+private:
+    std::string_view m_rest;
+};
+
+/// Hook of cereal.
+template<class number>
+std::enable_if_t<std::is_arithmetic_v<number>> load(bounded_input_archive &ar, number &value)
+{
+    if constexpr (std::is_same_v<number, bool>) {
+        std::uint8_t byte = 0;
+        ar.readBytes(&byte, 1);
+        value = byte != 0;
+    } else {
+        ar.readBytes(&value, sizeof value);
+    }
+}
+
+/// Hook of cereal.
+template<class value>
+void serialize(bounded_input_archive &ar, cereal::NameValuePair<value> &pair)
+{
+    ar(pair.value);
+}
+
+/// Hook of cereal. Each element of a container takes at least one byte of input.
+template<class value>
+void serialize(bounded_input_archive &ar, cereal::SizeTag<value> &tag)
+{
+    ar(tag.size);
+    if (tag.size > ar.remaining())
+        throw cereal::Exception("container is larger than the input");
+}
+
+/// Hook of cereal.
+template<class value>
+void load(bounded_input_archive &ar, cereal::BinaryData<value> &data)
+{
+    ar.readBytes(data.data, static_cast<std::size_t>(data.size));
+}
+
+} // namespace hyssoppond
+
+/// Hook of cereal: names the output archive whose format this input archive reads.
+template<>
+struct cereal::traits::detail::get_output_from_input<hyssoppond::bounded_input_archive>
+{
+    using type = cereal::PortableBinaryOutputArchive;
+};
--- /dev/null
+++ b/include/hyssoppond/journal/cluster_type.h
@@ -0,0 +1,117 @@
+/// @file What the reduction of the journal knows about jobs, deciders, configuration and endpoints.
+#pragma once
+
+#include "hyssoppond/base/error_type.h"
+#include "hyssoppond/journal/record_type.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hyssoppond::journal {
+
+/// Decision of the reduction about one record; equal in all processes.
+struct verdict
+{
+    bool accepted = false;
+    reason why = reason::None;  ///< of the rejection
+    bool repeated = false;      ///< accepted before with the same content; no effect now
+    journal_offset related = 0; ///< first offset of a repetition, or the winning version of a key
+    bool outageRight = false;   ///< the grant conferred the outage right that it names
+};
+
+/// A job as reduced from the journal.
+struct job_entry
+{
+    job_spec spec;
+    job_state state = job_state::Queued;
+    attempt_number attempt = 1; ///< next attempt while queued, else the current or last one
+    domain_id domain;           ///< of the current attempt
+    epoch_number epoch = 0;     ///< that placed the current attempt
+    std::vector<gang_member> members;
+    bool cancelRequested = false;
+    bool suspendRequested = false;
+    bool requeueRequested = false;
+    journal_offset submitted = 0;
+    absl::Time placedAt = absl::InfinitePast();
+    absl::Time startedAt = absl::InfinitePast();
+    absl::Time changedAt = absl::InfinitePast(); ///< record time of the last change
+    attempt_outcome lastOutcome = attempt_outcome::Completed;
+    double runSeconds = 0; ///< of all attempts
+
+    bool isEnded() const { return state >= job_state::Completed; }
+    bool isOnWorkers() const { return state == job_state::Placed || state == job_state::Running; }
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(spec, state, attempt, domain, epoch, members, cancelRequested, suspendRequested,
+           requeueRequested, submitted, placedAt, startedAt, changedAt, lastOutcome, runSeconds);
+    }
+};
+
+/// Decider and outage right of one domain.
+struct domain_entry
+{
+    epoch_number epoch = 0;
+    process_id holder; ///< empty: released
+    incarnation_number incarnation = 0;
+    absl::Time grantedAt = absl::InfinitePast();
+    process_id rightHolder; ///< empty: no outage right exists
+    incarnation_number rightIncarnation = 0;
+    epoch_number rightEpoch = 0; ///< first epoch under which this holder had the right
+    epoch_number rightLastEpoch = 0;
+    absl::Time rightUntil = absl::InfinitePast();
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(epoch, holder, incarnation, grantedAt, rightHolder, rightIncarnation, rightEpoch,
+           rightLastEpoch, rightUntil);
+    }
+};
+
+struct binding_entry
+{
+    process_id agent;
+    incarnation_number incarnation = 0;
+    journal_offset offset = 0;
+    absl::Time boundAt;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(agent, incarnation, offset, boundAt);
+    }
+};
+
+/// Newest accepted change of one key.
+struct config_entry
+{
+    std::string value; ///< empty: removed
+    journal_offset version = 0;
+    request_id request;
+    std::string issuedBy;
+    absl::Time changedAt;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(value, version, request, issuedBy, changedAt);
+    }
+};
+
+struct endpoint_entry
+{
+    endpoint announced;
+    bool gone = false;
+    absl::Time changedAt;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(announced, gone, changedAt);
+    }
+};
+
+} // namespace hyssoppond::journal
--- /dev/null
+++ b/include/hyssoppond/journal/record_type.h
@@ -0,0 +1,251 @@
+/// @file Records of the journal.
+#pragma once
+
+#include "hyssoppond/world/job_type.h"
+#include "hyssoppond/world/machine_type.h"
+
+#include <cereal/types/variant.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hyssoppond::journal {
+
+/// Unique name of a record, by which a lost append answer is settled.
+struct record_id
+{
+    process_id process;
+    incarnation_number incarnation = 0;
+    std::uint64_t counter = 0; ///< counted from 1 within the incarnation
+
+    auto operator<=>(const record_id &) const = default;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(process, incarnation, counter);
+    }
+};
+
+/// Decision of a caller or operator about a job.
+enum class command_kind : std::uint8_t { Cancel, Hold, Release, Suspend, Resume, Requeue };
+
+inline constexpr name_table<command_kind, 6> CommandKindNames {
+    {"Cancel", "Hold", "Release", "Suspend", "Resume", "Requeue"}};
+
+struct job_submitted
+{
+    job_spec spec;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(spec);
+    }
+};
+
+struct job_command
+{
+    job_id job;
+    command_kind kind = command_kind::Cancel;
+    request_id request;
+    std::string issuedBy; ///< operator or caller
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(job, kind, request, issuedBy);
+    }
+};
+
+/// Placement domain: a site or a region, with one decider.
+using domain_id = typed_name<struct domain_tag>;
+
+/// Valid only with the epoch in force, for a queued job, on free accelerators.
+struct job_placed
+{
+    domain_id domain;
+    job_id job;
+    attempt_number attempt = 0;
+    epoch_number epoch = 0;
+    std::vector<gang_member> members;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(domain, job, attempt, epoch, members);
+    }
+};
+
+/// Job that the holder of an outage right accepted and placed while the log was down. Valid when
+/// the right belonged to `epoch`, even if that epoch is no longer in force.
+struct outage_placed
+{
+    domain_id domain;
+    job_spec spec;
+    epoch_number epoch = 0;
+    std::vector<gang_member> members; ///< of attempt 1
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(domain, spec, epoch, members);
+    }
+};
+
+struct gang_started
+{
+    domain_id domain;
+    job_id job;
+    attempt_number attempt = 0;
+    epoch_number epoch = 0;
+    absl::Time startedAt;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(domain, job, attempt, epoch, startedAt);
+    }
+};
+
+struct attempt_ended
+{
+    domain_id domain;
+    job_id job;
+    attempt_number attempt = 0;
+    epoch_number epoch = 0;
+    attempt_outcome outcome = attempt_outcome::Completed;
+    absl::Time endedAt;
+    double runSeconds = 0;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(domain, job, attempt, epoch, outcome, endedAt, runSeconds);
+    }
+};
+
+/// Binds a request that may run only once to one agent; the first binding wins.
+struct request_bound
+{
+    request_id request;
+    team_id team;
+    process_id agent;
+    incarnation_number incarnation = 0;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(request, team, agent, incarnation);
+    }
+};
+
+struct config_changed
+{
+    std::string key;
+    std::string value;                  ///< empty: removes the key
+    journal_offset expectedVersion = 0; ///< 0: the key does not exist
+    request_id request;
+    std::string issuedBy; ///< operator
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(key, value, expectedVersion, request, issuedBy);
+    }
+};
+
+/// Makes `holder` the decider of a domain, or renews its outage right when the epoch is unchanged.
+struct decider_grant
+{
+    domain_id domain;
+    process_id holder;
+    incarnation_number incarnation = 0;
+    epoch_number epoch = 0;
+    absl::Time outageUntil = absl::InfinitePast(); ///< InfinitePast: no outage right
+    absl::Time issuedAt;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(domain, holder, incarnation, epoch, outageUntil, issuedAt);
+    }
+};
+
+/// Gives up the grant and the outage right of `holder`.
+struct decider_release
+{
+    domain_id domain;
+    process_id holder;
+    incarnation_number incarnation = 0;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(domain, holder, incarnation);
+    }
+};
+
+struct endpoint_announced
+{
+    endpoint announced;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(announced);
+    }
+};
+
+struct endpoint_gone
+{
+    process_id agent;
+    incarnation_number incarnation = 0;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(agent, incarnation);
+    }
+};
+
+constexpr std::size_t MaxSnapshotPartBytes = 64 * 1024;
+
+/// Piece of an encoded cluster_state.
+struct snapshot_part
+{
+    record_id snapshot;      ///< equal for all parts of one snapshot
+    journal_offset asOf = 0; ///< last offset that the snapshot contains
+    std::uint32_t index = 0;
+    std::uint32_t count = 0;
+    std::string bytes;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(snapshot, asOf, index, count, bytes);
+    }
+};
+
+using record_body
+    = std::variant<job_submitted, job_command, job_placed, outage_placed, gang_started,
+                   attempt_ended, request_bound, config_changed, decider_grant, decider_release,
+                   endpoint_announced, endpoint_gone, snapshot_part>;
+
+/// One record with its name and the time at which its author wrote it.
+struct journal_record
+{
+    record_id id;
+    absl::Time at;
+    record_body body;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(id, at, body);
+    }
+};
+
+} // namespace hyssoppond::journal
--- /dev/null
+++ b/src/journal/cluster_control.cpp
@@ -0,0 +1,126 @@
+/// @file Reduction of deciders, request bindings, configuration and endpoints.
+#include "hyssoppond/journal/cluster_state_base.h"
+#include "verdict_func.h"
+
+#include <algorithm>
+
+namespace hyssoppond::journal {
+
+bool cluster_state::grantRight(domain_entry &domain, const decider_grant &body)
+{
+    if (body.outageUntil == absl::InfinitePast())
+        return false;
+    const bool renews
+        = domain.rightHolder == body.holder && domain.rightIncarnation == body.incarnation;
+    const bool free = domain.rightHolder.isEmpty()
+        || body.issuedAt > domain.rightUntil + m_options.maxClockSkew;
+    if (!renews && !free)
+        return false;
+    if (!renews)
+        domain.rightEpoch = body.epoch;
+    domain.rightHolder = body.holder;
+    domain.rightIncarnation = body.incarnation;
+    domain.rightLastEpoch = body.epoch;
+    // A renewal never shortens a right: its holder may have read only the earlier record.
+    domain.rightUntil = renews ? std::max(domain.rightUntil, body.outageUntil) : body.outageUntil;
+    return true;
+}
+
+verdict cluster_state::reduceBody(const decider_grant &body)
+{
+    if (body.holder.isEmpty())
+        return reject(reason::InvalidArgument);
+    const auto known = m_domains.find(body.domain);
+    const epoch_number current = known == m_domains.end() ? 0 : known->second.epoch;
+    // A renewal keeps the epoch, so that placements in flight stay valid.
+    const bool renewal = known != m_domains.end() && body.epoch == current
+        && known->second.holder == body.holder && known->second.incarnation == body.incarnation;
+    if (!renewal && body.epoch != current + 1)
+        return reject(reason::StaleEpoch, current);
+    domain_entry &domain = m_domains[body.domain];
+    domain.epoch = body.epoch;
+    domain.holder = body.holder;
+    domain.incarnation = body.incarnation;
+    domain.grantedAt = body.issuedAt;
+    verdict decision = accept();
+    decision.outageRight = grantRight(domain, body);
+    return decision;
+}
+
+verdict cluster_state::reduceBody(const decider_release &body)
+{
+    const auto it = m_domains.find(body.domain);
+    if (it == m_domains.end())
+        return reject(reason::StaleEpoch);
+    domain_entry &domain = it->second;
+    const bool hasGrant = domain.holder == body.holder && domain.incarnation == body.incarnation;
+    const bool hasRight
+        = domain.rightHolder == body.holder && domain.rightIncarnation == body.incarnation;
+    if (hasGrant)
+        domain.holder = process_id();
+    if (hasRight)
+        domain.rightHolder = process_id();
+    return hasGrant || hasRight ? accept() : reject(reason::StaleEpoch, domain.epoch);
+}
+
+verdict cluster_state::reduceBody(const request_bound &body)
+{
+    const auto [it, added] = m_bindings.try_emplace(
+        {body.team, body.request}, binding_entry {body.agent, body.incarnation, m_offset, m_time});
+    if (added)
+        return accept();
+    const binding_entry &winner = it->second;
+    return winner.agent == body.agent && winner.incarnation == body.incarnation
+        ? repeat(winner.offset)
+        : reject(reason::RequestIdReused, winner.offset);
+}
+
+verdict cluster_state::reduceBody(const config_changed &body)
+{
+    if (body.key.empty())
+        return reject(reason::InvalidArgument);
+    const auto known = m_config.find(body.key);
+    const bool exists = known != m_config.end() && !known->second.value.empty();
+    const journal_offset version = known == m_config.end() ? 0 : known->second.version;
+    // An operator who repeats a change whose answer was lost gets the answer of the first one.
+    if (known != m_config.end() && !body.request.isEmpty() && known->second.request == body.request
+        && known->second.issuedBy == body.issuedBy && known->second.value == body.value)
+        return repeat(version);
+    if (body.expectedVersion != version && (exists || body.expectedVersion != 0))
+        return reject(reason::VersionConflict, version);
+    if (!exists && body.value.empty())
+        return reject(reason::VersionConflict, version);
+    m_config[body.key] = {body.value, m_offset, body.request, body.issuedBy, m_time};
+    return accept();
+}
+
+verdict cluster_state::reduceBody(const endpoint_announced &body)
+{
+    const process_id &agent = body.announced.agent;
+    if (agent.isEmpty())
+        return reject(reason::InvalidArgument);
+    const auto known = m_endpoints.find(agent);
+    if (known != m_endpoints.end()) {
+        const endpoint_entry &entry = known->second;
+        if (body.announced.incarnation < entry.announced.incarnation
+            || (entry.gone && body.announced.incarnation == entry.announced.incarnation))
+            return reject(reason::StaleIncarnation);
+    }
+    m_endpoints[agent] = {body.announced, false, m_time};
+    return accept();
+}
+
+verdict cluster_state::reduceBody(const endpoint_gone &body)
+{
+    const auto it = m_endpoints.find(body.agent);
+    if (it == m_endpoints.end())
+        return reject(reason::UnknownEndpoint);
+    if (body.incarnation < it->second.announced.incarnation)
+        return reject(reason::StaleIncarnation);
+    it->second.announced.incarnation = body.incarnation;
+    it->second.gone = true;
+    it->second.changedAt = m_time;
+    return accept();
+}
+
+} // namespace hyssoppond::journal
--- /dev/null
+++ b/src/journal/record_window.cpp
@@ -0,0 +1,34 @@
+/// @file Implementation of the window of seen records.
+#include "hyssoppond/journal/record_window_base.h"
+
+#include <algorithm>
+
+namespace hyssoppond::journal {
+
+bool record_window::testAndSet(const record_id &id, absl::Time at)
+{
+    entry &window = m_entries[{id.process, id.incarnation}];
+    window.lastAt = std::max(window.lastAt, at);
+    if (id.counter > window.highest) {
+        const std::uint64_t steps = std::min(id.counter - window.highest, Counters);
+        for (std::uint64_t i = 0; i < steps; ++i) {
+            const std::uint64_t slot = (id.counter - i) % Counters;
+            window.seen[slot / 64] &= ~(std::uint64_t {1} << (slot % 64));
+        }
+        window.highest = id.counter;
+    } else if (window.highest - id.counter >= Counters) {
+        return true;
+    }
+    const std::uint64_t slot = id.counter % Counters;
+    const std::uint64_t bit = std::uint64_t {1} << (slot % 64);
+    const bool seen = (window.seen[slot / 64] & bit) != 0;
+    window.seen[slot / 64] |= bit;
+    return seen;
+}
+
+void record_window::prune(absl::Time before)
+{
+    std::erase_if(m_entries, [&](const auto &item) { return item.second.lastAt < before; });
+}
+
+} // namespace hyssoppond::journal
--- /dev/null
+++ b/src/journal/sealed_archive_func.h
@@ -0,0 +1,65 @@
+/// @file Archives behind a version byte and a checksum.
+#pragma once
+
+#include "hyssoppond/base/bounded_archive_base.h"
+#include "hyssoppond/base/error_type.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <xxhash.h>
+
+#include <cstring>
+#include <exception>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace hyssoppond::journal {
+
+constexpr std::size_t SealBytes = 1 + sizeof(std::uint64_t);
+
+/// Serialises `value` behind `version` and the xxhash of the archive.
+template<class content>
+std::string seal(std::uint8_t version, const content &value)
+{
+    std::ostringstream out;
+    {
+        cereal::PortableBinaryOutputArchive archive(out);
+        archive(value);
+    }
+    const std::string body = std::move(out).str();
+    const std::uint64_t checksum = XXH64(body.data(), body.size(), version);
+    std::string sealed(SealBytes, '\0');
+    sealed[0] = static_cast<char>(version);
+    std::memcpy(sealed.data() + 1, &checksum, sizeof checksum);
+    return sealed + body;
+}
+
+/// Reverses seal. Errors: BodyTooLarge, UnsupportedVersion, ChecksumMismatch, MalformedMessage.
+template<class content>
+result<content> unseal(std::uint8_t version, std::string_view sealed, std::size_t maxBytes)
+{
+    if (sealed.size() > maxBytes)
+        return fail(reason::BodyTooLarge, "the payload exceeds the size limit; send smaller parts");
+    if (sealed.size() <= SealBytes)
+        return fail(reason::MalformedMessage, "the payload is truncated; send it again");
+    if (static_cast<std::uint8_t>(sealed[0]) != version)
+        return fail(reason::UnsupportedVersion,
+                    "the payload has another version; update this program");
+    std::uint64_t checksum = 0;
+    std::memcpy(&checksum, sealed.data() + 1, sizeof checksum);
+    const std::string_view body = sealed.substr(SealBytes);
+    if (checksum != XXH64(body.data(), body.size(), version))
+        return fail(reason::ChecksumMismatch, "the payload is damaged; send it again");
+    try {
+        content value;
+        bounded_input_archive archive(body);
+        archive(value);
+        if (archive.remaining() != 0)
+            return fail(reason::MalformedMessage, "the payload has trailing bytes; send it again");
+        return value;
+    } catch (const std::exception &problem) {
+        return fail(reason::MalformedMessage, problem.what());
+    }
+}
+
+} // namespace hyssoppond::journal
--- /dev/null
+++ b/src/journal/verdict_func.h
@@ -0,0 +1,24 @@
+/// @file Construction of verdicts.
+#pragma once
+
+#include "hyssoppond/journal/cluster_type.h"
+
+namespace hyssoppond::journal {
+
+inline verdict accept()
+{
+    return {.accepted = true};
+}
+
+inline verdict reject(reason why, journal_offset related = 0)
+{
+    return {.accepted = false, .why = why, .related = related};
+}
+
+/// Accepted earlier at `first` with the same content.
+inline verdict repeat(journal_offset first)
+{
+    return {.accepted = true, .repeated = true, .related = first};
+}
+
+} // namespace hyssoppond::journal
--- /dev/null
+++ b/tests/journal_test.cpp
@@ -0,0 +1,202 @@
+/// @file Tests of the journal's codec, reduction and client.
+#include "hyssoppond/journal/cluster_state_base.h"
+#include "hyssoppond/journal/record_codec_func.h"
+
+#include <gtest/gtest.h>
+#include <random>
+
+namespace hyssoppond::journal {
+namespace {
+
+const domain_id Site("site");
+
+/// Writes records as one process does and keeps the payloads for replay.
+struct writer
+{
+    cluster_state state;
+    std::vector<std::string> payloads;
+    std::vector<verdict> verdicts;
+    absl::Time now = absl::FromUnixSeconds(1'000'000);
+    std::uint64_t counter = 0;
+
+    writer()
+    {
+        state.setListener([this](journal_offset, const journal_record &, const verdict &decision) {
+            verdicts.push_back(decision);
+        });
+    }
+    verdict write(record_body body)
+    {
+        payloads.push_back(encodeBatch({{{process_id("e1"), 1, ++counter}, now, std::move(body)}}));
+        state.apply(state.offset() + 1, payloads.back());
+        return verdicts.back();
+    }
+};
+
+job_spec specOf(const std::string &request, std::uint32_t accelerators = 2)
+{
+    job_spec spec;
+    spec.team = team_id("blue");
+    spec.request = request_id(request);
+    spec.id = jobIdFor(spec.team, spec.request);
+    spec.wanted.acceleratorsPerMember = accelerators;
+    return spec;
+}
+
+std::vector<gang_member> on(const std::string &worker, accelerator_mask mask)
+{
+    return {{worker_id(worker), process_id("agent-" + worker), mask}};
+}
+
+decider_grant grantOf(const std::string &holder, epoch_number epoch, absl::Time issued,
+                      absl::Time until = absl::InfinitePast())
+{
+    return {Site, process_id(holder), 1, epoch, until, issued};
+}
+
+/// A random record that often refers to existing jobs, keys and epochs.
+record_body randomBody(std::mt19937_64 &random, absl::Time now)
+{
+    const job_spec spec = specOf("r" + std::to_string(random() % 12));
+    const epoch_number epoch = random() % 4;
+    const auto attempt = static_cast<attempt_number>(1 + random() % 2);
+    const auto mask = static_cast<accelerator_mask>(3U << (random() % 4));
+    const std::string holder = "e" + std::to_string(random() % 3);
+    switch (random() % 10) {
+    case 0:
+        return job_submitted {spec};
+    case 1:
+        return job_command {spec.id, static_cast<command_kind>(random() % 6), {}, "op"};
+    case 2:
+    case 3:
+        return job_placed {Site, spec.id, attempt, epoch, on("w1", mask)};
+    case 4:
+        return attempt_ended {
+            Site, spec.id, attempt, epoch, static_cast<attempt_outcome>(random() % 6), now, 1.5};
+    case 5:
+        return grantOf(holder, epoch, now, now + absl::Minutes(30));
+    case 6:
+        return config_changed {"k" + std::to_string(random() % 3), "v", random() % 20, {}, "op"};
+    case 7:
+        return request_bound {spec.request, spec.team, process_id(holder), 1};
+    case 8:
+        return endpoint_gone {process_id("a"), random() % 3};
+    default:
+        return endpoint_announced {{process_id("a"), random() % 3, {}, {}, {}, {}}};
+    }
+}
+
+// Guards against input that crashes the decoder, allocates without bound, or passes as valid.
+TEST(RecordCodec, RejectsDamagedInput)
+{
+    const std::string valid
+        = encodeBatch({{{}, absl::FromUnixSeconds(1), job_submitted {specOf("r")}}});
+    ASSERT_TRUE(decodeBatch(valid));
+    std::mt19937_64 random(7);
+    for (int i = 0; i < 20000; ++i) {
+        std::string input = valid.substr(0, i % 3 == 0 ? random() % valid.size() : valid.size());
+        if (input.size() == valid.size())
+            input[random() % input.size()] ^= static_cast<char>(1 + random() % 255);
+        EXPECT_FALSE(decodeBatch(input));
+    }
+}
+
+// Guards against two gangs on one accelerator and against the placements of a stale decider.
+TEST(ClusterState, FencesPlacementsByEpochAndFreeAccelerators)
+{
+    writer log;
+    log.write(job_submitted {specOf("a")});
+    log.write(job_submitted {specOf("b")});
+    EXPECT_TRUE(log.write(grantOf("e1", 1, log.now)).accepted);
+    const job_id a = specOf("a").id;
+    const job_id b = specOf("b").id;
+    EXPECT_TRUE(log.write(job_placed {Site, a, 1, 1, on("w", 3)}).accepted);
+    EXPECT_EQ(log.write(job_placed {Site, b, 1, 1, on("w", 6)}).why, reason::AcceleratorBusy);
+    EXPECT_TRUE(log.write(grantOf("e2", 2, log.now)).accepted);
+    EXPECT_EQ(log.write(grantOf("e3", 2, log.now)).why, reason::StaleEpoch);
+    EXPECT_EQ(log.write(job_placed {Site, b, 1, 1, on("w", 12)}).why, reason::StaleEpoch);
+    EXPECT_TRUE(
+        log.write(attempt_ended {Site, a, 1, 2, attempt_outcome::Lost, log.now, 1}).accepted);
+    EXPECT_EQ(log.state.findJob(a)->state, job_state::Queued);
+    EXPECT_EQ(log.write(job_placed {Site, a, 1, 2, on("w", 3)}).why, reason::StaleAttempt);
+    EXPECT_TRUE(log.write(job_placed {Site, b, 1, 2, on("w", 6)}).accepted);
+}
+
+// Guards against two holders of the outage right at the same time.
+TEST(ClusterState, ConfersOutageRightOnlyAfterTheEarlierOne)
+{
+    writer log;
+    const absl::Time until = log.now + absl::Minutes(30);
+    EXPECT_TRUE(log.write(grantOf("e1", 1, log.now, until)).outageRight);
+    EXPECT_TRUE(log.write(grantOf("e1", 1, log.now, until + absl::Minutes(1))).outageRight);
+    EXPECT_FALSE(
+        log.write(grantOf("e2", 2, until + absl::Seconds(60), until + absl::Hours(1))).outageRight);
+    const absl::Time past = until + absl::Minutes(1) + absl::Milliseconds(251);
+    EXPECT_TRUE(log.write(grantOf("e2", 2, past, past + absl::Hours(1))).outageRight);
+    EXPECT_TRUE(log.write(decider_release {Site, process_id("e2"), 1}).accepted);
+    EXPECT_TRUE(log.write(grantOf("e3", 3, past, past + absl::Hours(1))).outageRight);
+}
+
+// Guards against a lost update when two operators change a key, and a repetition that conflicts.
+TEST(ClusterState, AcceptsTheFirstOfConcurrentChanges)
+{
+    writer log;
+    const config_changed first {"team/blue", "1", 0, request_id("r1"), "ann"};
+    EXPECT_TRUE(log.write(first).accepted);
+    const verdict second = log.write(config_changed {"team/blue", "2", 0, request_id("r2"), "bob"});
+    EXPECT_EQ(second.why, reason::VersionConflict);
+    EXPECT_EQ(second.related, 1U);
+    EXPECT_TRUE(log.write(first).repeated);
+    EXPECT_TRUE(log.write(config_changed {"team/blue", "", 1, request_id("r3"), "bob"}).accepted);
+    EXPECT_EQ(log.state.findConfig("team/blue"), nullptr);
+}
+
+// Guards against a job that runs twice because its submission was repeated or its id reused.
+TEST(ClusterState, SubmissionIsIdempotent)
+{
+    writer log;
+    EXPECT_TRUE(log.write(job_submitted {specOf("r")}).accepted);
+    EXPECT_TRUE(log.write(job_submitted {specOf("r")}).repeated);
+    EXPECT_EQ(log.write(job_submitted {specOf("r", 4)}).why, reason::RequestIdReused);
+    EXPECT_EQ(log.state.jobs().size(), 1U);
+}
+
+// Guards against a snapshot that lacks state: snapshot plus tail must equal the full replay. Times
+// advance far enough that retention drops entries on both ways.
+TEST(ClusterState, SnapshotPlusTailEqualsReplay)
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        std::mt19937_64 random(seed);
+        writer log;
+        cluster_state restored;
+        const std::size_t cut = random() % 400;
+        for (std::size_t i = 0; i < 400; ++i) {
+            log.now += absl::Seconds(random() % 120);
+            log.write(randomBody(random, log.now));
+            if (i == cut) {
+                const result<std::string> joined = joinParts(log.state.snapshot({}));
+                ASSERT_TRUE(joined && restored.restore(*joined));
+            } else if (i > cut) {
+                ASSERT_TRUE(restored.apply(i + 1, log.payloads.back()));
+            }
+        }
+        cluster_state replayed;
+        for (std::size_t i = 0; i < log.payloads.size(); ++i)
+            replayed.apply(i + 1, log.payloads[i]);
+        EXPECT_EQ(restored.encode(), replayed.encode()) << "seed " << seed;
+    }
+}
+
+// Guards against a crash or a partial effect after an upgrade of only some processes.
+TEST(ClusterState, SkipsPayloadsOfNewerPrograms)
+{
+    cluster_state state;
+    EXPECT_TRUE(state.apply(1, std::string("\x02later-format", 13)));
+    EXPECT_TRUE(state.apply(2, "\x01"));
+    EXPECT_EQ(state.skippedNewer(), 1U);
+    EXPECT_EQ(state.skippedDamaged(), 1U);
+    EXPECT_EQ(state.offset(), 2U);
+}
+
+} // namespace
+} // namespace hyssoppond::journal
