Add the routing library: messages, router, executor and a fake runner

Change: call messages with bounded decoding, call_router with fair queue, route table and retry budget, call_executor with a ledger of ids and keyed tokens, fake_runner with a record of its runs, and the site of entries and agents in virtual time that tests and fault cells share. Ruled out: cereal's own input archive, because it resizes a string to the announced length before it reads the bytes.

--- /dev/null
+++ b/src/routing/call_executor_run.cpp
@@ -0,0 +1,150 @@
+/// @file Agent side of calls: slots of the runner.
+#include "call_executor_state_type.h"
+
+#include <utility>
+
+namespace hyssoppond {
+
+void call_executor::admit(const ledger_key &key, const call_request &what)
+{
+    ledger_record record;
+    record.keepUntil = what.deadline + m_settings.retention;
+    record.checksum = what.checksum;
+    record.waiters = {what.attempt};
+    m_ledger->insert(key, std::move(record));
+    admitted_call call {key,
+                        what.caller,
+                        m_busy >= m_settings.slots,
+                        {what.attempt.id.request, what.payload, what.deadline}};
+    if (call.waited)
+        m_calls->waiting.push_back(std::move(call));
+    else
+        start(call);
+}
+
+void call_executor::start(const admitted_call &call)
+{
+    ledger_record *record = m_ledger->find(call.key);
+    if (record == nullptr || record->state != ledger_state::Waiting)
+        return;
+    if (call.call.deadline <= m_env.now() && m_mechanisms.deadlineCheck)
+        return abandon(call.key, *record, reason::Expired);
+    record->state = ledger_state::Running;
+    ++m_busy;
+    const std::uint64_t run = ++m_runs;
+    m_calls->running[call.key] = {run, call.waited, call.call.deadline + m_settings.runnerGrace};
+    m_hooks.runner->call(call.call,
+                         [this, key = call.key, run,
+                          alive = std::weak_ptr<bool>(m_alive)](result<std::string> answer) {
+                             if (!alive.expired())
+                                 finish(key, run, std::move(answer));
+                         });
+}
+
+void call_executor::startWaiting()
+{
+    while (m_busy < m_settings.slots && !m_calls->waiting.empty()) {
+        const admitted_call call = std::move(m_calls->waiting.front());
+        m_calls->waiting.pop_front();
+        start(call);
+    }
+}
+
+void call_executor::finish(const ledger_key &key, std::uint64_t run, result<std::string> answer)
+{
+    const auto it = m_calls->running.find(key);
+    if (it == m_calls->running.end() || it->second.run != run)
+        return m_hooks.count(event::Dropped, reason::LateAnswer);
+    const bool waited = it->second.waited;
+    m_calls->running.erase(it);
+    --m_busy;
+    ledger_record *record = m_ledger->find(key);
+    const std::vector<call_attempt> waiters = record->waiters;
+    if (!answer && answer.error().state == execution::NotRun) {
+        // Another attempt may still run this call, but these attempts may not.
+        const absl::Time deadline = record->keepUntil - m_settings.retention;
+        m_ledger->erase(key);
+        for (const call_attempt &attempt : waiters)
+            refuse(attempt, answer.error().why, true, deadline);
+    } else {
+        call_response response;
+        response.agentIncarnation = m_settings.incarnation;
+        response.succeeded = answer.has_value();
+        response.waited = waited;
+        response.state = answer ? execution::Ran : answer.error().state;
+        response.payload = answer ? *std::move(answer) : answer.error().message;
+        response.length = response.payload.size();
+        response.checksum = callChecksum(response.payload);
+        m_ledger->end(*record, std::move(response));
+        for (const call_attempt &attempt : waiters)
+            reply(attempt, *record);
+    }
+    startWaiting();
+}
+
+void call_executor::abandon(const ledger_key &key, ledger_record &record, reason why)
+{
+    const std::vector<call_attempt> waiters = std::exchange(record.waiters, {});
+    const absl::Time deadline = record.keepUntil - m_settings.retention;
+    std::erase_if(m_calls->waiting, [&](const admitted_call &call) { return call.key == key; });
+    if (why == reason::Leaving)
+        m_ledger->erase(key);
+    else
+        record.state = ledger_state::Fenced;
+    for (const call_attempt &attempt : waiters)
+        refuse(attempt, why, true, deadline);
+}
+
+void call_executor::setLeaving(bool leaving)
+{
+    m_leaving = leaving;
+    if (!leaving || !m_mechanisms.leavingCheck)
+        return;
+    while (!m_calls->waiting.empty()) {
+        const ledger_key key = m_calls->waiting.front().key;
+        abandon(key, *m_ledger->find(key), reason::Leaving);
+    }
+}
+
+void call_executor::expireRunning()
+{
+    const absl::Time now = m_env.now();
+    std::vector<std::pair<ledger_key, std::uint64_t>> expired;
+    for (const auto &[key, call] : m_calls->running) {
+        if (call.giveUpAt <= now)
+            expired.emplace_back(key, call.run);
+    }
+    for (const auto &[key, run] : expired) {
+        finish(key, run,
+               fail(reason::RunnerUnreachable,
+                    "the runner did not answer before the deadline; check the runner",
+                    execution::Unknown));
+    }
+}
+
+void call_executor::tick()
+{
+    expireRunning();
+    const absl::Time now = m_env.now();
+    std::vector<ledger_key> late;
+    for (const admitted_call &call : m_calls->waiting) {
+        if (call.call.deadline <= now && m_mechanisms.deadlineCheck)
+            late.push_back(call.key);
+    }
+    for (const ledger_key &key : late)
+        abandon(key, *m_ledger->find(key), reason::Expired);
+    startWaiting();
+    m_ledger->expire(now);
+}
+
+absl::Time call_executor::nextDeadline() const
+{
+    absl::Time next = m_ledger->nextExpiry();
+    for (const auto &[key, call] : m_calls->running)
+        next = std::min(next, call.giveUpAt);
+    for (const admitted_call &call : m_calls->waiting)
+        next = std::min(next, call.call.deadline);
+    return next;
+}
+
+} // namespace hyssoppond
--- /dev/null
+++ b/src/routing/call_executor_state_type.h
@@ -0,0 +1,39 @@
+/// @file Private state of a call_executor.
+#pragma once
+
+#include "hyssoppond/routing/call_executor_base.h"
+#include "hyssoppond/routing/call_token_func.h"
+
+#include "call_ledger_base.h"
+
+#include <algorithm>
+#include <deque>
+
+namespace hyssoppond {
+
+/// Attempts that can wait for the outcome of one call. Further ones learn it by call_query.
+constexpr std::size_t MaxWaiters = 16;
+
+/// An admitted call that has not started.
+struct call_executor::admitted_call
+{
+    ledger_key key;
+    caller_id caller;
+    bool waited = false;
+    runner_call call;
+};
+
+/// Calls that occupy a slot of the runner or wait for one.
+struct call_executor::admitted_calls
+{
+    struct running_call
+    {
+        std::uint64_t run = 0; ///< tells the completions of two runs apart
+        bool waited = false;
+        absl::Time giveUpAt;
+    };
+    std::map<ledger_key, running_call> running;
+    std::deque<admitted_call> waiting; ///< oldest first
+};
+
+} // namespace hyssoppond
--- /dev/null
+++ b/tests/routing_test.cpp
@@ -0,0 +1,205 @@
+/// @file Tests of the call routing library.
+#include "../faults/call_site_base.h"
+#include "hyssoppond/routing/call_token_func.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+namespace hyssoppond {
+namespace {
+
+using faults::call_site;
+using faults::site_options;
+
+call_submission callOf(const call_site &site, const std::string &request, bool repeatable)
+{
+    call_submission what;
+    what.id = {team_id("team"), request_id(request)};
+    what.caller = caller_id("caller");
+    what.repeatable = repeatable;
+    what.deadline = site.clock.now() + absl::Seconds(10);
+    what.payload = "payload of " + request;
+    return what;
+}
+
+std::size_t runsOf(const call_site &site, const std::string &request)
+{
+    std::size_t runs = 0;
+    for (const auto &agent : site.agents) {
+        for (const call_run &run : agent.runner->runs())
+            runs += run.request.str() == request ? 1 : 0;
+    }
+    return runs;
+}
+
+std::vector<call_message> samples()
+{
+    const call_attempt attempt {{team_id("t"), request_id("r")}, process_id("e"), 7, 9};
+    call_request request {attempt,
+                          3,
+                          caller_id("c"),
+                          urgency::Urgent,
+                          true,
+                          absl::FromUnixSeconds(5),
+                          "token",
+                          std::string(300, 'x'),
+                          11};
+    return {request,
+            call_response {attempt, 3, true, false, execution::Ran, 2, 4, "ok"},
+            call_refused {attempt, 3, reason::Leaving, true, absl::FromUnixSeconds(6)},
+            call_fence {attempt, 3, false, "token", absl::FromUnixSeconds(6)},
+            call_fenced {attempt, 3, call_state::Fenced},
+            call_query {attempt, 3, true, ""},
+            call_reserve {attempt, absl::FromUnixSeconds(6)},
+            call_reserved {attempt, "token"}};
+}
+
+// Guards against a field that is lost or reordered in the binary form.
+TEST(call_message, decodesWhatItEncodes)
+{
+    for (const call_message &what : samples()) {
+        const auto decoded = decodeCall(encode(what));
+        ASSERT_TRUE(decoded.has_value());
+        EXPECT_EQ(encode(*decoded), encode(what));
+    }
+}
+
+// Guards against exceptions, large allocations and undefined behaviour on damaged input.
+TEST(call_message, survivesRandomAndMutatedInput)
+{
+    std::mt19937_64 random(1);
+    std::size_t accepted = 0;
+    for (int round = 0; round < 20000; ++round) {
+        std::string bytes = encode(samples()[random() % 8]);
+        if (round % 4 == 0) {
+            for (char &byte : bytes)
+                byte = static_cast<char>(random());
+            bytes[0] = 1;
+            bytes[1] = static_cast<char>(random() % 10);
+            bytes[2] = 1;
+        } else if (round % 4 == 1) {
+            bytes.resize(random() % bytes.size());
+            EXPECT_FALSE(decodeCall(bytes).has_value());
+        } else {
+            for (std::uint64_t i = 0; i <= random() % 4; ++i)
+                bytes[random() % bytes.size()] ^= static_cast<char>(1 << random() % 8);
+        }
+        accepted += decodeCall(bytes).has_value() ? 1 : 0;
+    }
+    EXPECT_LT(accepted, 20000U);
+}
+
+// Guards against reading a message of another version as if it were ours, and against bulk input.
+TEST(call_message, rejectsVersionsAndSizes)
+{
+    std::string bytes = encode(samples()[0]);
+    bytes[0] = 2;
+    EXPECT_EQ(decodeCall(bytes).error().why, reason::UnsupportedVersion);
+    bytes[0] = 1;
+    EXPECT_EQ(decodeCall(bytes + "x").error().why, reason::MalformedMessage);
+    bytes.resize(MaxCallPayload * 2);
+    EXPECT_EQ(decodeCall(bytes).error().why, reason::BodyTooLarge);
+}
+
+// Guards against tokens that another incarnation or a changed field would satisfy.
+TEST(call_token, rejectsChangedTokens)
+{
+    const call_token token {process_id("agent.1"), 4, team_id("team"), 99,
+                            absl::FromUnixSeconds(50)};
+    const std::string text = issueToken(token, 1);
+    const auto verified = verifyToken(text, 1);
+    ASSERT_TRUE(verified.has_value());
+    EXPECT_EQ(verified->agent, token.agent);
+    EXPECT_EQ(verified->deadline, token.deadline);
+    EXPECT_FALSE(verifyToken(text, 2).has_value());
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        std::string changed = text;
+        changed[i] = changed[i] == '1' ? '2' : '1';
+        EXPECT_FALSE(verifyToken(changed, 1).has_value()) << i;
+    }
+}
+
+// Guards against a route from submission to answer that loses a call of any kind.
+TEST(call_site, answersEachKindOfCall)
+{
+    call_site site(1, {});
+    site.submit(0, callOf(site, "repeatable", true));
+    site.submit(1, callOf(site, "bound", false));
+    std::string token;
+    site.entries[0].router->reserve(team_id("team"), site.clock.now() + absl::Seconds(5),
+                                    [&](result<std::string> got) { token = got.value(); });
+    site.clock.runFor(absl::Seconds(1));
+    call_submission withToken = callOf(site, "token", false);
+    withToken.token = token;
+    site.submit(1, withToken);
+    site.submit(0, withToken);
+    site.clock.runFor(absl::Seconds(1));
+    for (const auto &one : site.submissions) {
+        ASSERT_EQ(one.answers.size(), 1U);
+        ASSERT_TRUE(one.answers[0].has_value()) << one.answers[0].error().message;
+        EXPECT_EQ(*one.answers[0], fake_runner::answerTo(one.what.payload));
+    }
+    EXPECT_EQ(runsOf(site, "token"), 1U);
+    EXPECT_EQ(site.entries[0].router->pendingCalls(), 0U);
+}
+
+// Guards against a second run when the caller retries an id that is not repeatable elsewhere.
+TEST(call_site, runsABoundIdOnce)
+{
+    call_site site(2, {});
+    for (std::size_t i = 0; i < 6; ++i)
+        site.submit(i % 2, callOf(site, "once", false));
+    site.clock.runFor(absl::Seconds(1));
+    EXPECT_EQ(runsOf(site, "once"), 1U);
+    for (const auto &one : site.submissions)
+        EXPECT_TRUE(one.answers.at(0).has_value());
+}
+
+// Guards against a second payload that gets the answer of the first under one id.
+TEST(call_site, refusesAReusedIdWithAnotherPayload)
+{
+    call_site site(3, {});
+    site.submit(0, callOf(site, "once", false));
+    site.clock.runFor(absl::Seconds(1));
+    call_submission other = callOf(site, "once", false);
+    other.payload = "another payload";
+    site.submit(1, other);
+    site.clock.runFor(absl::Seconds(1));
+    EXPECT_EQ(site.submissions[1].answers.at(0).error().why, reason::RequestIdReused);
+}
+
+// Guards against "not run" for a call whose agent was lost after the request left.
+TEST(call_site, reportsUnknownAfterTheLossOfTheAgent)
+{
+    call_site site(4, {});
+    for (auto &agent : site.agents)
+        agent.runner->faults.hang = true;
+    site.submit(0, callOf(site, "lost", false));
+    site.clock.runFor(absl::Milliseconds(200));
+    for (std::size_t i = 0; i < site.agents.size(); ++i) {
+        site.killAgent(i);
+        site.removeEverywhere(i);
+    }
+    EXPECT_EQ(site.submissions[0].answers.at(0).error().state, execution::Unknown);
+}
+
+// Guards against a binding that cannot be settled and still lets the call run.
+TEST(call_site, refusesBoundCallsWhileTheLogIsDown)
+{
+    call_site site(5, {});
+    site.binding.refuse = true;
+    site.submit(0, callOf(site, "refused", false));
+    site.submit(0, callOf(site, "repeatable", true));
+    site.clock.runFor(absl::Seconds(1));
+    const error &got = site.submissions[0].answers.at(0).error();
+    EXPECT_EQ(got.why, reason::LogUnavailable);
+    EXPECT_EQ(got.state, execution::NotRun);
+    EXPECT_LT(got.retryAt, absl::InfiniteFuture());
+    EXPECT_TRUE(site.submissions[1].answers.at(0).has_value());
+    EXPECT_EQ(runsOf(site, "refused"), 0U);
+}
+
+} // namespace
+} // namespace hyssoppond
