Add the scheduler with guarantees, shares, guards and holds

Cause: the policy library had no code; entries need placement decisions. Change: capacity index per worker, rack and zone; guarantee book that keeps one packing of all unused guarantees; queue by shape, share and key; commands that test first; decide() with reclaim, holds for starved gangs and compaction. Ruled out: repacking all guarantees before each placement, which costs the number of contracts; only reservations in the way are moved. Measured: policy_test, 7 tests pass.

--- /dev/null
+++ b/include/hyssoppond/policy/job_queue_base.h
@@ -0,0 +1,83 @@
+/// @file Queue of jobs by shape, team and key, with fair shares between the teams.
+#pragma once
+
+#include "hyssoppond/policy/job_entry_type.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace hyssoppond {
+
+/// Jobs that wait. Insertion and removal cost the logarithm of the queue's length; the choice of
+/// the next job costs the number of distinct shapes.
+class job_queue
+{
+public:
+    using shape_test = std::function<bool(const shape &)>;
+
+    explicit job_queue(bool fairShares)
+        : m_fairShares(fairShares)
+    { }
+
+    /// Number of a team, assigned on first use.
+    std::uint32_t teamNumber(const team_id &team);
+    /// Number of a team that was assigned before.
+    std::uint32_t findTeam(const team_id &team) const { return m_numbers.at(team.str()); }
+    void setWeight(std::uint32_t team, double weight);
+    /// Adds accelerators to what the team uses; negative when a gang ends.
+    void addUse(std::uint32_t team, std::int64_t accelerators);
+    /// Accelerators that the team uses now.
+    std::int64_t use(std::uint32_t team) const { return m_teams[team].use; }
+
+    void insert(job_entry &job);
+    void erase(const job_entry &job);
+    std::size_t sizeOf(std::uint32_t team) const { return m_teams[team].queued; }
+    std::size_t size() const { return m_size; }
+
+    /// Next job in the order of shares and keys whose shape passes the test; null if none.
+    job_entry *best(const shape_test &fits) const;
+    /// Job with the lowest key whose shape fails the test; null if none.
+    job_entry *oldestBlocked(const shape_test &fits) const;
+    /// Urgent jobs by team, in the order of their keys.
+    using rank = std::pair<double, std::uint64_t>;
+    const std::map<std::uint32_t, std::map<rank, job_entry *>> &urgent() const { return m_urgent; }
+
+    std::uint64_t steps() const { return m_steps; }
+
+private:
+    using team_rank = std::tuple<double, double, std::uint64_t>; ///< share, key, sequence
+    struct lane
+    {
+        std::map<team_rank, job_entry *> heads; ///< first job of each team
+        std::map<rank, job_entry *> jobs;
+    };
+    struct team_entry
+    {
+        double weight = 1;
+        std::int64_t use = 0;
+        std::size_t queued = 0;
+        std::map<shape, std::map<rank, job_entry *>> lanes;
+    };
+
+    double shareOf(const team_entry &team) const;
+    void removeHead(const team_entry &team, const shape &wanted);
+    void addHead(const team_entry &team, const shape &wanted);
+    template<class change>
+    void changeShare(std::uint32_t team, const change &apply);
+
+    bool m_fairShares;
+    std::size_t m_size = 0;
+    std::map<shape, lane> m_lanes;
+    std::vector<team_entry> m_teams;
+    absl::flat_hash_map<std::string, std::uint32_t> m_numbers;
+    std::map<std::uint32_t, std::map<rank, job_entry *>> m_urgent;
+    mutable std::uint64_t m_steps = 0;
+};
+
+} // namespace hyssoppond
--- /dev/null
+++ b/src/policy/scheduler_attempt_cmd.cpp
@@ -0,0 +1,295 @@
+/// @file Commands on attempts: placements, preemptions, starts and ends, with the guards of
+/// workers.
+#include "hyssoppond/policy/scheduler_base.h"
+
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <bit>
+
+namespace hyssoppond {
+
+namespace {
+
+/// A gang that fails sooner than this counts as a failed start.
+constexpr double FailedStartSeconds = 10;
+constexpr absl::Duration MaxGuardDelay = absl::Hours(8);
+
+/// True if each member of `part` fits a member of its own of `whole`.
+bool isPartOf(const gang_location &part, gang_location whole)
+{
+    return std::all_of(part.begin(), part.end(), [&whole](const worker_share &share) {
+        const auto found = std::find_if(whole.begin(), whole.end(), [&share](const auto &other) {
+            return other.worker == share.worker && other.accelerators >= share.accelerators;
+        });
+        if (found == whole.end())
+            return false;
+        whole.erase(found);
+        return true;
+    });
+}
+
+} // namespace
+
+result<gang_location> scheduler::locationOf(const job_entry &job,
+                                            const std::vector<gang_member> &members) const
+{
+    gang_location at;
+    std::map<worker_index, accelerator_mask> taken;
+    for (const gang_member &member : members) {
+        const auto index = m_fleet.find(member.worker);
+        if (!index)
+            return fail(reason::UnknownEndpoint,
+                        absl::StrFormat("worker %s of the placement is not in the fleet",
+                                        member.worker.str()));
+        accelerator_mask &mask = taken[*index];
+        const auto free = static_cast<accelerator_mask>(m_fleet.at(*index).free & ~mask);
+        const auto count = static_cast<std::uint32_t>(std::popcount(member.accelerators));
+        if ((member.accelerators & ~free) != 0)
+            return fail(reason::AcceleratorBusy,
+                        absl::StrFormat("worker %s has no free accelerators for job %s; decide "
+                                        "again",
+                                        member.worker.str(), job.spec.id.str()));
+        mask = static_cast<accelerator_mask>(mask | member.accelerators);
+        at.push_back({*index, count});
+    }
+    const shape &wanted = job.spec.wanted;
+    const bool complete = at.size() == wanted.members
+        && std::all_of(at.begin(), at.end(), [&wanted](const worker_share &share) {
+                              return share.accelerators == wanted.acceleratorsPerMember;
+                          });
+    if (!complete)
+        return fail(reason::InvalidArgument,
+                    absl::StrFormat("the placement of job %s is not its whole gang of %d x %d",
+                                    job.spec.id.str(), wanted.members,
+                                    wanted.acceleratorsPerMember));
+    return at;
+}
+
+void scheduler::useGuarantee(job_entry &job, const contract_id &id)
+{
+    job.contract = id;
+    if (job.unit)
+        return; // claimed before
+    const auto unit = m_book.unusedUnit(id, job.spec.wanted);
+    if (!unit)
+        return; // the contract shrank since the decision; the gang is reclaimable like borrowed
+    // A gang smaller than the promise keeps the rest of the reservation with it, so that the whole
+    // promise fits again when it ends.
+    const gang_location reserved = m_book.reserved(*unit);
+    m_book.use(*unit, isPartOf(job.at, reserved) ? reserved : job.at, false);
+    job.unit = unit;
+}
+
+result<void> scheduler::placementAccepted(const job_id &id, attempt_number attempt,
+                                          const std::vector<gang_member> &members,
+                                          const contract_id &underContract, command_mode mode)
+{
+    const auto found = jobInState(id, {job_state::Queued}, "placed");
+    if (!found)
+        return tl::unexpected(found.error());
+    job_entry &job = **found;
+    if (attempt != job.attempt)
+        return fail(
+            reason::StaleAttempt,
+            absl::StrFormat("job %s waits for attempt %d, not %d", id.str(), job.attempt, attempt));
+    const auto at = locationOf(job, members);
+    if (!at)
+        return tl::unexpected(at.error());
+    if (mode == command_mode::Test)
+        return {};
+    if (job.unit && (underContract.isEmpty() || *at != job.claim))
+        dropClaim(job);
+    for (const worker_share &share : job.claim)
+        m_fleet.at(share.worker).claimed -= share.accelerators;
+    job.claim.clear();
+    dropHold(job);
+    m_queue.erase(job);
+    m_fleet.occupy(job, members, *at);
+    m_queue.addUse(job.team, static_cast<std::int64_t>(job.spec.wanted.accelerators()));
+    job.state = job_state::Placed;
+    if (!underContract.isEmpty())
+        useGuarantee(job, underContract);
+    return {};
+}
+
+void scheduler::claimFor(job_entry &job, unit_index unit)
+{
+    const gang_location whole = m_book.reserved(unit);
+    job.claim.assign(whole.begin(), whole.begin() + job.spec.wanted.members);
+    for (worker_share &share : job.claim) {
+        share.accelerators = job.spec.wanted.acceleratorsPerMember;
+        m_fleet.at(share.worker).claimed += share.accelerators;
+        m_fleet.refresh(share.worker);
+    }
+    job.unit = unit;
+}
+
+void scheduler::dropClaim(job_entry &job)
+{
+    for (const worker_share &share : job.claim) {
+        m_fleet.at(share.worker).claimed -= share.accelerators;
+        m_fleet.refresh(share.worker);
+    }
+    job.claim.clear();
+    if (job.unit && job.isQueued()) {
+        m_book.release(*job.unit);
+        job.unit.reset();
+    }
+}
+
+result<void> scheduler::preemptionAccepted(const preempt_decision &accepted, command_mode mode)
+{
+    const auto found
+        = jobInState(accepted.job, {job_state::Placed, job_state::Running}, "preempted");
+    if (!found)
+        return tl::unexpected(found.error());
+    if ((*found)->attempt != accepted.attempt)
+        return fail(reason::StaleAttempt,
+                    absl::StrFormat("job %s runs attempt %d, not %d", accepted.job.str(),
+                                    (*found)->attempt, accepted.attempt));
+    if (mode == command_mode::Test)
+        return {};
+    (*found)->stopping = true;
+    const auto owner = m_jobs.find(accepted.beneficiary);
+    if (accepted.contract.isEmpty() || owner == m_jobs.end() || !owner->second.isQueued()
+        || owner->second.unit)
+        return {};
+    const auto unit = m_book.unusedUnit(accepted.contract, owner->second.spec.wanted);
+    if (unit && m_book.isPacked(*unit)) {
+        claimFor(owner->second, *unit);
+        m_book.use(*unit, gang_location(m_book.reserved(*unit)), false);
+    }
+    return {};
+}
+
+result<void> scheduler::gangStarted(const job_id &id, attempt_number attempt, absl::Time time,
+                                    command_mode mode)
+{
+    const auto found = jobInState(id, {job_state::Placed}, "started");
+    if (!found)
+        return tl::unexpected(found.error());
+    if ((*found)->attempt != attempt)
+        return fail(reason::StaleAttempt,
+                    absl::StrFormat("job %s is at attempt %d, not %d", id.str(), (*found)->attempt,
+                                    attempt));
+    if (mode == command_mode::Test)
+        return {};
+    (*found)->state = job_state::Running;
+    (*found)->startedAt = time;
+    return {};
+}
+
+void scheduler::noteFailedStart(worker_index index, const job_entry &job, attempt_outcome outcome,
+                                absl::Time time)
+{
+    fleet_worker &failed = m_fleet.at(index);
+    // A caller whose tasks fail by themselves must not guard the fleet: its failures in a row count
+    // once. A start that the platform refused always counts.
+    const bool sameCaller = !job.spec.caller.isEmpty() && failed.failures > 0
+        && failed.lastFailedCaller == job.spec.caller;
+    if (outcome == attempt_outcome::Failed && sameCaller
+        && failed.condition != worker_condition::Probation)
+        return;
+    failed.lastFailedCaller = job.spec.caller;
+    ++failed.failures;
+    const bool again = failed.condition == worker_condition::Probation;
+    if (!again
+        && (failed.condition != worker_condition::Usable
+            || failed.failures < m_options.guardFailures))
+        return;
+    failed.guardedUntil = time + failed.guardDelay;
+    failed.guardDelay = std::min(2 * failed.guardDelay, MaxGuardDelay);
+    changeCondition(index, worker_condition::Guarded);
+}
+
+void scheduler::noteGoodStart(worker_index index)
+{
+    fleet_worker &good = m_fleet.at(index);
+    good.failures = 0;
+    if (good.condition != worker_condition::Probation)
+        return;
+    good.guardDelay = m_options.guardDelay;
+    changeCondition(index, worker_condition::Usable);
+}
+
+void scheduler::noteStart(const job_entry &job, attempt_outcome outcome, absl::Time time,
+                          double runSeconds)
+{
+    if (!m_options.guard)
+        return;
+    const bool failed = outcome == attempt_outcome::Aborted
+        || (outcome == attempt_outcome::Failed && runSeconds < FailedStartSeconds);
+    const bool good = outcome == attempt_outcome::Completed
+        || (runSeconds >= FailedStartSeconds && outcome != attempt_outcome::Lost);
+    if (!failed && !good)
+        return;
+    gang_location workers = job.at;
+    std::sort(workers.begin(), workers.end());
+    workers.erase(std::unique(workers.begin(), workers.end()), workers.end());
+    for (const worker_share &share : workers) {
+        if (failed)
+            noteFailedStart(share.worker, job, outcome, time);
+        else
+            noteGoodStart(share.worker);
+    }
+}
+
+job_state scheduler::stateAfter(const job_entry &job, attempt_outcome outcome)
+{
+    if (outcome == attempt_outcome::Completed)
+        return job_state::Completed;
+    if (job.afterStop && *job.afterStop == job_state::Cancelled)
+        return job_state::Cancelled;
+    // A task that may have run is repeated only if its caller allowed it.
+    const bool mayRepeat = job.spec.repeatable || outcome == attempt_outcome::Aborted;
+    if (job.afterStop && mayRepeat)
+        return *job.afterStop;
+    switch (outcome) {
+    case attempt_outcome::Cancelled:
+        return job_state::Cancelled;
+    case attempt_outcome::Aborted:
+    case attempt_outcome::Lost:
+    case attempt_outcome::Preempted:
+        return mayRepeat ? job_state::Queued : job_state::Failed;
+    default:
+        return job_state::Failed;
+    }
+}
+
+result<void> scheduler::attemptEnded(const job_id &id, attempt_number attempt,
+                                     attempt_outcome outcome, absl::Time time, double runSeconds,
+                                     command_mode mode)
+{
+    const auto found = jobInState(id, {job_state::Placed, job_state::Running}, "ended");
+    if (!found)
+        return tl::unexpected(found.error());
+    job_entry &job = **found;
+    if (job.attempt != attempt)
+        return fail(
+            reason::StaleAttempt,
+            absl::StrFormat("job %s is at attempt %d, not %d", id.str(), job.attempt, attempt));
+    if (mode == command_mode::Test)
+        return {};
+    noteStart(job, outcome, time, runSeconds);
+    m_fleet.vacate(job);
+    m_queue.addUse(job.team, -static_cast<std::int64_t>(job.spec.wanted.accelerators()));
+    if (job.unit)
+        m_book.release(*job.unit);
+    job.unit.reset();
+    job.contract = contract_id();
+    job.stopping = false;
+    job.attainedSeconds += runSeconds;
+    if (outcome == attempt_outcome::Completed)
+        m_runTimes.finished(job.spec, job.attainedSeconds);
+    job.mayHaveRun = job.mayHaveRun || outcome != attempt_outcome::Aborted;
+    ++job.attempt;
+    const job_state next = stateAfter(job, outcome);
+    job.afterStop.reset();
+    job.state = next;
+    if (next == job_state::Queued)
+        enqueue(job);
+    return {};
+}
+
+} // namespace hyssoppond
--- /dev/null
+++ b/src/policy/scheduler_decide.cpp
@@ -0,0 +1,223 @@
+/// @file The decision: urgent work under contract with reclaim, then the shared queue.
+#include "hyssoppond/policy/scheduler_base.h"
+
+#include <algorithm>
+#include <bit>
+#include <tuple>
+
+namespace hyssoppond {
+
+namespace {
+
+/// Urgent jobs of one team that a decision looks at; more wait for the next one.
+constexpr std::size_t UrgentPerTeam = 16;
+
+} // namespace
+
+std::vector<decision> scheduler::decide(absl::Time now)
+{
+    std::vector<decision> out;
+    endGuards(now);
+    updateHolds(now);
+    decideUrgent(now, out);
+    decideHeld(now, out);
+    decideShared(out);
+    rollBack();
+    return out;
+}
+
+void scheduler::rollBack()
+{
+    for (; !m_undo.empty(); m_undo.pop_back())
+        m_undo.back()();
+}
+
+void scheduler::endGuards(absl::Time now)
+{
+    const std::vector<worker_index> guarded = m_guarded;
+    for (const worker_index index : guarded) {
+        if (m_fleet.at(index).guardedUntil <= now)
+            changeCondition(index, worker_condition::Probation);
+    }
+}
+
+void scheduler::proposePlace(job_entry &job, const gang_location &at, const contract_id &under,
+                             decision_cause cause, std::vector<decision> &out)
+{
+    std::vector<gang_member> members = m_fleet.membersAt(at);
+    out.emplace_back(place_decision {job.spec.id, job.attempt, members, under, cause});
+    m_queue.erase(job);
+    m_fleet.occupy(job, members, at);
+    const auto accelerators = static_cast<std::int64_t>(job.spec.wanted.accelerators());
+    m_queue.addUse(job.team, accelerators);
+    m_undo.emplace_back([this, &job, accelerators] {
+        m_queue.addUse(job.team, -accelerators);
+        m_fleet.vacate(job);
+        m_queue.insert(job);
+    });
+}
+
+void scheduler::proposePreempt(job_entry &victim, const job_entry &beneficiary,
+                               const contract_id &under, decision_cause cause, absl::Time now,
+                               std::vector<decision> &out)
+{
+    out.emplace_back(preempt_decision {victim.spec.id, victim.attempt,
+                                       now + m_options.checkpointTime, under, beneficiary.spec.id,
+                                       cause});
+    victim.stopping = true;
+    m_undo.emplace_back([&victim] { victim.stopping = false; });
+}
+
+void scheduler::decideUrgent(absl::Time now, std::vector<decision> &out)
+{
+    // Copied, because proposals take jobs out of the queue.
+    std::vector<job_entry *> jobs;
+    for (const auto &[team, ofTeam] : m_queue.urgent()) {
+        std::size_t count = 0;
+        for (auto at = ofTeam.begin(); at != ofTeam.end() && count < UrgentPerTeam; ++at, ++count)
+            jobs.push_back(at->second);
+    }
+    for (job_entry *job : jobs) {
+        if (out.size() < m_options.maxDecisions)
+            decideUnderContract(*job, now, out);
+        if (!job->unit || !job->members.empty())
+            continue;
+        // A job whose accelerators are being reclaimed does not also take borrowed ones.
+        m_queue.erase(*job);
+        m_undo.emplace_back([this, job] { m_queue.insert(*job); });
+    }
+}
+
+bool scheduler::decideUnderContract(job_entry &job, absl::Time now, std::vector<decision> &out)
+{
+    if (job.unit)
+        return placeAtClaim(job, out) || reclaim(job, now, out);
+    const auto unit = m_book.unusedUnit(job.spec.team, job.spec.wanted);
+    if (!unit)
+        return false;
+    if (placeWithUnit(job, *unit, out))
+        return true;
+    if (!m_book.isPacked(*unit))
+        return false;
+    // The claim makes the unit in use at its reservation, so that later proposals keep off it.
+    claimFor(job, *unit);
+    const auto record = m_book.use(*unit, gang_location(m_book.reserved(*unit)), false);
+    m_undo.emplace_back([this, &job, record] {
+        for (const worker_share &share : job.claim) {
+            m_fleet.at(share.worker).claimed -= share.accelerators;
+            m_fleet.refresh(share.worker);
+        }
+        job.claim.clear();
+        job.unit.reset();
+        m_book.undo(*record);
+    });
+    return reclaim(job, now, out);
+}
+
+bool scheduler::hasFree(const gang_location &at, bool ignoreClaims) const
+{
+    std::map<worker_index, std::uint32_t> needed;
+    for (const worker_share &share : at)
+        needed[share.worker] += share.accelerators;
+    return std::all_of(needed.begin(), needed.end(), [&](const auto &entry) {
+        const fleet_worker &worker = m_fleet.at(entry.first);
+        const std::uint32_t others = ignoreClaims ? 0 : worker.claimed;
+        return m_fleet.guaranteeCapacity(entry.first) > 0
+            && worker.freeCount() >= entry.second + others;
+    });
+}
+
+bool scheduler::placeAtClaim(job_entry &job, std::vector<decision> &out)
+{
+    if (!hasFree(job.claim, true))
+        return false;
+    const gang_location at = job.claim;
+    proposePlace(job, at, m_book.contractOf(*job.unit), decision_cause::UnderContract, out);
+    return true;
+}
+
+bool scheduler::placeWithUnit(job_entry &job, unit_index unit, std::vector<decision> &out)
+{
+    const contract_id under = m_book.contractOf(unit);
+    const shape &wanted = job.spec.wanted;
+    const gang_location reserved = m_book.reserved(unit);
+    const bool whole = m_book.find(under)->promised == wanted;
+    const auto propose = [&](const gang_location &at, const guarantee_book::use_record &record) {
+        m_undo.emplace_back([this, record] { m_book.undo(record); });
+        proposePlace(job, at, under, decision_cause::UnderContract, out);
+        return true;
+    };
+    // A gang smaller than the promise takes part of the reservation, so that the rest stays with
+    // it.
+    if (whole || !m_options.guaranteeCheck) {
+        if (const auto at = m_fleet.free().find(wanted, m_book.zoneOf(unit))) {
+            if (const auto record = m_book.use(unit, *at, m_options.guaranteeCheck))
+                return propose(*at, *record);
+        }
+    }
+    if (reserved.empty())
+        return false;
+    gang_location at(reserved.begin(), reserved.begin() + wanted.members);
+    for (worker_share &share : at)
+        share.accelerators = wanted.acceleratorsPerMember;
+    if (!hasFree(at, false))
+        return false;
+    return propose(at, *m_book.use(unit, reserved, false));
+}
+
+job_entry *scheduler::cheapestVictim(worker_index index, absl::Time now) const
+{
+    const auto lostWork = [now](const job_entry &job) {
+        const double ran
+            = job.state == job_state::Running ? absl::ToDoubleSeconds(now - job.startedAt) : 0;
+        // Work that may not be repeated is lost as a whole and goes last.
+        return std::tuple(!job.spec.repeatable,
+                          ran * static_cast<double>(job.spec.wanted.accelerators()),
+                          -static_cast<double>(job.sequence));
+    };
+    job_entry *best = nullptr;
+    for (job_entry *job : m_fleet.at(index).gangs) {
+        const bool reclaimable = job->isActive() && !job->unit && !job->stopping;
+        if (reclaimable && (best == nullptr || lostWork(*job) < lostWork(*best)))
+            best = job;
+    }
+    return best;
+}
+
+bool scheduler::reclaim(job_entry &job, absl::Time now, std::vector<decision> &out)
+{
+    for (const worker_share &share : job.claim) {
+        const fleet_worker &worker = m_fleet.at(share.worker);
+        for (;;) {
+            std::uint32_t coming = worker.freeCount();
+            for (const job_entry *gang : worker.gangs) {
+                if (!gang->stopping)
+                    continue;
+                for (const worker_share &part : gang->at)
+                    coming += part.worker == share.worker ? part.accelerators : 0;
+            }
+            if (coming >= worker.claimed)
+                break;
+            job_entry *victim = cheapestVictim(share.worker, now);
+            if (victim == nullptr)
+                break;
+            proposePreempt(*victim, job, m_book.contractOf(*job.unit), decision_cause::Reclaim, now,
+                           out);
+        }
+    }
+    return true;
+}
+
+void scheduler::decideShared(std::vector<decision> &out)
+{
+    const auto fits = [this](const shape &wanted) { return m_fleet.free().fits(wanted); };
+    while (out.size() < m_options.maxDecisions) {
+        job_entry *job = m_queue.best(fits);
+        if (job == nullptr)
+            return;
+        const auto at = m_fleet.free().find(job->spec.wanted);
+        proposePlace(*job, *at, contract_id(), decision_cause::FairShare, out);
+    }
+}
+
+} // namespace hyssoppond
