--- /dev/null
+++ b/src/membership/membership_state.h
@@ -0,0 +1,131 @@
+/// @file State and steps of the membership, split over several source files.
+#pragma once
+
+#include "event_queue.h"
+#include "hyssoppond/membership/membership_base.h"
+#include "member_table.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace hyssoppond {
+
+/// The probe of the current period.
+struct probe_state
+{
+    process_id process;
+    incarnation_number incarnation = 0;
+    std::uint32_t sequence = 0;
+    absl::Time indirectAt;
+    bool indirectSent = false;
+};
+
+/// A ping sent on behalf of another member.
+struct relay_state
+{
+    peer origin;
+    std::uint32_t originSequence = 0;
+    absl::Time until;
+};
+
+/// Events that are repeated until the receiver acknowledges them.
+struct notice_state
+{
+    peer to;
+    member_event what;
+    std::uint32_t attempts = 0;
+    absl::Time nextAt;
+};
+
+struct membership::state
+{
+    membership_settings settings;
+    membership_hooks hooks;
+    bool started = false;
+    member_event self;
+    bool stale = false;
+    std::uint32_t staleSequence = 0; ///< acknowledgements of later messages end the stale state
+    config_digest config;
+    std::vector<address> seeds;
+    member_table table;
+    event_queue queue;
+    std::uint32_t nextSequence = 1;
+    process_id heardFrom; ///< sender of the message being handled
+    bool quiet = false;   ///< statements from an exchange of views are not passed on as gossip
+
+    std::optional<probe_state> probe;
+    std::vector<process_id> localOrder; ///< shuffled members of the own zone, probed from the back
+    absl::flat_hash_map<std::uint32_t, relay_state> relays;
+    absl::flat_hash_map<std::uint32_t, notice_state> notices;
+    std::set<std::pair<absl::Time, process_id>> deadlines; ///< of suspicions and retentions
+    std::set<process_id> suspectedHere;
+
+    absl::Time lastTick;
+    absl::Time nextPeriod;
+    absl::Time nextView;
+    absl::Time nextDeadRetry;
+    absl::Time forwardAt = absl::InfiniteFuture();
+    absl::Time lastForward = absl::InfinitePast();
+    absl::Time nextJoin = absl::InfiniteFuture();
+    std::uint16_t joinBucket = 0;   ///< buckets below it are known
+    std::uint32_t joinSequence = 0; ///< of the request that is waiting for its answer
+
+    // membership.cpp: start, time and dispatch.
+    absl::Time now() const { return hooks.env.now(); }
+    std::uint64_t below(std::uint64_t bound) { return hooks.env.random() % bound; }
+    void run();
+    absl::Time nextDue() const;
+    void checkPause();
+    void dispatch(const peer &from, const membership_message &what);
+    void onAck(const peer &from, const membership_message &what);
+    void leave();
+
+    // events.cpp: merging of statements and their dissemination.
+    void apply(const member_event &what);
+    void applyAboutSelf(const member_event &what);
+    void add(const member_event &what);
+    void change(member_entry &entry, member_event next);
+    void setDeadline(member_entry &entry, absl::Time when);
+    void startSuspicion(member_entry &entry, bool here);
+    void expire();
+    void disseminate(const member_event &what, bool urgent);
+    void forward();
+    void notify(const peer &to, const member_event &what);
+    void repeatNotices();
+    void announceDeparture(const member_event &what);
+    std::uint32_t retransmitLimit() const;
+    absl::Duration suspicionTimeout() const;
+
+    // probes.cpp: pings and their relays.
+    void startPeriod();
+    void finishProbe();
+    member_entry *chooseProbe();
+    void sendPing(const peer &to, std::uint32_t sequence);
+    void sendIndirect(const member_entry &about, std::uint32_t sequence);
+    void onPing(const peer &from, const membership_message &what);
+    void onPingRequest(const peer &from, const membership_message &what);
+    void retryDead();
+
+    // view.cpp: exchange of views.
+    void exchangeView();
+    void requestBuckets();
+    void onViewDigest(const peer &from, const membership_message &what);
+    void onBucketRequest(const peer &from, const membership_message &what);
+    void sendBuckets(const peer &to, const std::vector<std::uint16_t> &buckets,
+                     std::uint32_t sequence);
+    void onBucketData(const membership_message &what);
+
+    // sending.cpp: packets and choice of receivers.
+    void send(const peer &to, membership_message what, const process_id &about = {});
+    void sendAck(const peer &to, std::uint32_t sequence, const peer &target = {});
+    member_entry *choose(const member_table::entries &from, const process_id &except = {});
+    member_entry *chooseAny(const process_id &except = {});
+    std::vector<member_entry *> chooseRelays(const member_entry &about);
+    std::optional<peer> chooseContact();
+};
+
+} // namespace hyssoppond
