--- /dev/null
+++ b/include/hyssoppond/base/machine_runner_base.h
@@ -0,0 +1,50 @@
+/// @file Runs a state machine on a thread pool: tasks one at a time and in order, ticks when due.
+#pragma once
+
+#include "hyssoppond/base/thread_pool_base.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <atomic>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <string>
+
+namespace hyssoppond {
+
+/// Serialises access to one state machine. A task may post to other runners; it never waits for
+/// them, so no two state machines are locked at the same time.
+class machine_runner
+{
+public:
+    /// `tick` performs what is due, `nextDeadline` tells when it is due next; both run as tasks.
+    /// At most `maxQueued` tasks wait.
+    machine_runner(const std::string &name, thread_pool *pool, std::size_t maxQueued,
+                   std::function<void()> tick, std::function<absl::Time()> nextDeadline);
+    ~machine_runner();
+    machine_runner(const machine_runner &) = delete;
+    machine_runner &operator=(const machine_runner &) = delete;
+
+    /// Queues a task; false if the queue is full or the runner has stopped.
+    bool post(std::function<void()> task);
+    /// Refuses new tasks and waits until the queued ones have run. Not to be called by a task.
+    void stop();
+
+private:
+    void drain();
+    void schedule() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    thread_pool *m_pool;
+    const std::size_t m_maxQueued;
+    std::function<void()> m_tick;
+    std::function<absl::Time()> m_nextDeadline;
+    absl::Mutex m_mutex;
+    std::deque<std::function<void()>> m_tasks ABSL_GUARDED_BY(m_mutex);
+    bool m_scheduled ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+    deadline_timer m_timer;
+};
+
+} // namespace hyssoppond
--- /dev/null
+++ b/include/hyssoppond/node/node_link_base.h
@@ -0,0 +1,108 @@
+/// @file What every process of ours has: transport, membership and the configuration.
+#pragma once
+
+#include "hyssoppond/base/counters_base.h"
+#include "hyssoppond/base/machine_runner_base.h"
+#include "hyssoppond/journal/config_gossip_base.h"
+#include "hyssoppond/membership/membership_base.h"
+#include "hyssoppond/transport/transport_base.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hyssoppond {
+
+/// Settings of a node_link.
+struct node_link_settings
+{
+    endpoint self; ///< the control address is where the process listens
+    process_role role = process_role::Entry;
+    std::vector<address> seeds;
+};
+
+/// What the role of the process does with what arrives. Called on threads of the pool.
+struct node_link_hooks
+{
+    std::function<void(const frame &)> onGang;
+    std::function<void(const frame &)> onCall;
+    std::function<void(const member_view &)> onMember;
+    std::function<void(const journal::config_item &)> onConfig;
+    std::function<void(bool stale)> onStale;
+};
+
+/// Addresses of the live processes. Thread-safe.
+class address_book
+{
+public:
+    struct row
+    {
+        address where;
+        incarnation_number incarnation = 0;
+        process_role role = process_role::Agent;
+        zone_id zone;
+    };
+
+    void set(const process_id &process, row value);
+    void erase(const process_id &process);
+    std::optional<row> find(const process_id &process) const;
+    zone_id zoneOf(const address &where) const;
+    /// Up to `count` different processes, chosen at random.
+    std::vector<process_id> random(std::size_t count) const;
+    /// All entries, and up to `perZone` agents of each zone.
+    std::vector<process_id> entriesAndSome(std::size_t perZone) const;
+
+private:
+    mutable absl::Mutex m_mutex;
+    std::map<process_id, row> m_rows ABSL_GUARDED_BY(m_mutex);
+    std::map<address, zone_id> m_zones ABSL_GUARDED_BY(m_mutex);
+};
+
+/// Joins the process to the others. start() and stop() from one thread; the rest is thread-safe.
+class node_link
+{
+public:
+    node_link(node_link_settings settings, node_link_hooks hooks, thread_pool *pool,
+              counter_registry *counters);
+    ~node_link();
+    node_link(const node_link &) = delete;
+    node_link &operator=(const node_link &) = delete;
+
+    /// Opens the sockets and joins. Error: the address cannot be used.
+    result<void> start();
+    /// Announces the departure; the process goes on answering until stop().
+    void leave();
+    /// Flushes what is queued until `deadline` and closes.
+    void stop(absl::Time deadline);
+
+    /// Sends to a process whose address is known; otherwise the payload is dropped and counted.
+    void send(const process_id &to, channel via, std::string payload);
+    /// Merges a configuration change read from the journal; `push`: accepted here.
+    void publishConfig(const journal::config_item &item, bool push);
+    const endpoint &self() const { return m_settings.self; }
+    const address_book &addresses() const { return m_addresses; }
+    environment env() const;
+    /// Runs `visit` with all members, on a thread of the pool.
+    void withMembers(std::function<void(const std::vector<member_view> &)> visit);
+
+private:
+    void onMemberChange(const member_view &member);
+    membership_hooks membershipHooks();
+    journal::gossip_hooks gossipHooks();
+
+    node_link_settings m_settings;
+    node_link_hooks m_hooks;
+    counter_registry *m_counters;
+    address_book m_addresses;
+    std::unique_ptr<transport> m_transport;
+    membership m_membership;
+    journal::config_store m_config;
+    journal::config_gossip m_gossip;
+    machine_runner m_members; ///< runs m_membership
+    machine_runner m_gossiping; ///< runs m_gossip and m_config
+};
+
+} // namespace hyssoppond
--- /dev/null
+++ b/src/base/machine_runner.cpp
@@ -0,0 +1,95 @@
+/// @file Implementation of the machine runner.
+#include "hyssoppond/base/machine_runner_base.h"
+
+#include <absl/time/clock.h>
+
+#include <utility>
+
+namespace hyssoppond {
+
+namespace {
+
+/// Tasks run in one go before other runners get the thread.
+constexpr std::size_t MaxBatch = 64;
+/// Lower bound between two ticks, so that a deadline in the past cannot occupy a core.
+constexpr absl::Duration ShortestTick = absl::Milliseconds(2);
+constexpr absl::Duration RetryWhenPoolIsFull = absl::Milliseconds(5);
+
+} // namespace
+
+machine_runner::machine_runner(const std::string &name, thread_pool *pool, std::size_t maxQueued,
+                               std::function<void()> tick,
+                               std::function<absl::Time()> nextDeadline)
+    : m_pool(pool)
+    , m_maxQueued(maxQueued)
+    , m_tick(std::move(tick))
+    , m_nextDeadline(std::move(nextDeadline))
+    , m_timer(name, [this] {
+        const absl::MutexLock lock(&m_mutex);
+        if (!m_stopping)
+            schedule();
+        return m_scheduled || m_stopping ? absl::InfiniteFuture()
+                                         : absl::Now() + RetryWhenPoolIsFull;
+    })
+{ }
+
+machine_runner::~machine_runner()
+{
+    stop();
+}
+
+void machine_runner::schedule()
+{
+    if (!m_scheduled)
+        m_scheduled = m_pool->post([this] { drain(); });
+}
+
+bool machine_runner::post(std::function<void()> task)
+{
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_stopping || m_tasks.size() >= m_maxQueued)
+            return false;
+        m_tasks.push_back(std::move(task));
+        schedule();
+        if (m_scheduled)
+            return true;
+    }
+    m_timer.wakeAt(absl::Now() + RetryWhenPoolIsFull);
+    return true;
+}
+
+void machine_runner::drain()
+{
+    std::deque<std::function<void()>> batch;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        for (std::size_t i = 0; i < MaxBatch && !m_tasks.empty(); ++i) {
+            batch.push_back(std::move(m_tasks.front()));
+            m_tasks.pop_front();
+        }
+    }
+    for (const auto &task : batch)
+        task();
+    m_tick();
+    const absl::Time next = std::max(m_nextDeadline(), absl::Now() + ShortestTick);
+    m_timer.wakeAt(next);
+    const absl::MutexLock lock(&m_mutex);
+    m_scheduled = false;
+    if (!m_tasks.empty())
+        schedule();
+}
+
+void machine_runner::stop()
+{
+    m_timer.stop();
+    const auto idle = [this]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) {
+        return !m_scheduled;
+    };
+    const absl::MutexLock lock(&m_mutex);
+    m_stopping = true;
+    m_mutex.Await(absl::Condition(&idle));
+    m_tasks.clear();
+}
+
+} // namespace hyssoppond
