--- a/include/hyssoppond/node/node_link_base.h
+++ b/include/hyssoppond/node/node_link_base.h
@@ -101,7 +101,7 @@
     membership m_membership;
     journal::config_store m_config;
     journal::config_gossip m_gossip;
-    machine_runner m_members; ///< runs m_membership
+    machine_runner m_members;   ///< runs m_membership
     machine_runner m_gossiping; ///< runs m_gossip and m_config
 };
 
--- a/src/base/machine_runner.cpp
+++ b/src/base/machine_runner.cpp
@@ -18,8 +18,7 @@
 } // namespace
 
 machine_runner::machine_runner(const std::string &name, thread_pool *pool, std::size_t maxQueued,
-                               std::function<void()> tick,
-                               std::function<absl::Time()> nextDeadline)
+                               std::function<void()> tick, std::function<absl::Time()> nextDeadline)
     : m_pool(pool)
     , m_maxQueued(maxQueued)
     , m_tick(std::move(tick))
@@ -83,9 +82,7 @@
 void machine_runner::stop()
 {
     m_timer.stop();
-    const auto idle = [this]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) {
-        return !m_scheduled;
-    };
+    const auto idle = [this]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) { return !m_scheduled; };
     const absl::MutexLock lock(&m_mutex);
     m_stopping = true;
     m_mutex.Await(absl::Condition(&idle));
--- a/src/platform/http_runner_port.cpp
+++ b/src/platform/http_runner_port.cpp
@@ -26,15 +26,15 @@
                     execution::NotRun, absl::Now());
     }
     if (answer.status != 0) {
-        return fail(reason::RunnerFailed,
-                    absl::StrFormat("the runner answered status %d: %s", answer.status,
-                                    answer.body),
-                    execution::Ran);
+        return fail(
+            reason::RunnerFailed,
+            absl::StrFormat("the runner answered status %d: %s", answer.status, answer.body),
+            execution::Ran);
     }
-    return fail(reason::RunnerUnreachable,
-                absl::StrFormat("no answer from the runner: %s; check that it runs",
-                                answer.problem),
-                answer.unsent ? execution::NotRun : execution::Unknown);
+    return fail(
+        reason::RunnerUnreachable,
+        absl::StrFormat("no answer from the runner: %s; check that it runs", answer.problem),
+        answer.unsent ? execution::NotRun : execution::Unknown);
 }
 
 } // namespace
@@ -47,9 +47,8 @@
 void http_runner_port::call(runner_call what, std::function<void(result<std::string>)> done)
 {
     const auto shared = std::make_shared<std::function<void(result<std::string>)>>(std::move(done));
-    const bool queued = m_threads.post([this, what = std::move(what), shared] {
-        (*shared)(runCall(m_options.url, what));
-    });
+    const bool queued = m_threads.post(
+        [this, what = std::move(what), shared] { (*shared)(runCall(m_options.url, what)); });
     if (!queued) {
         (*shared)(fail(reason::Overloaded, "too many calls wait for the runner; retry later",
                        execution::NotRun, absl::Now()));
--- a/standins/runner/runner_standin.cpp
+++ b/standins/runner/runner_standin.cpp
@@ -130,12 +130,11 @@
     where.sin_family = AF_INET;
     where.sin_port = htons(values->address("listen").port);
     inet_pton(AF_INET, values->address("listen").host.c_str(), &where.sin_addr);
-    MHD_Daemon *daemon
-        = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0,
-                           nullptr, nullptr, &onRequest, &runner, MHD_OPTION_SOCK_ADDR, &where,
-                           MHD_OPTION_CONNECTION_LIMIT,
-                           static_cast<unsigned>(values->number("connections")),
-                           MHD_OPTION_NOTIFY_COMPLETED, &onCompleted, nullptr, MHD_OPTION_END);
+    MHD_Daemon *daemon = MHD_start_daemon(
+        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, nullptr, nullptr,
+        &onRequest, &runner, MHD_OPTION_SOCK_ADDR, &where, MHD_OPTION_CONNECTION_LIMIT,
+        static_cast<unsigned>(values->number("connections")), MHD_OPTION_NOTIFY_COMPLETED,
+        &onCompleted, nullptr, MHD_OPTION_END);
     if (daemon == nullptr) {
         std::cerr << "cannot listen on " << values->text("listen") << "; choose a free port\n";
         return 1;
