--- /dev/null
+++ b/include/hyssoppond/agent/agent_node_base.h
@@ -0,0 +1,67 @@
+/// @file The process beside an endpoint: serves its worker and its runner.
+#pragma once
+
+#include "hyssoppond/gang/gang_member_agent_base.h"
+#include "hyssoppond/node/node_link_base.h"
+#include "hyssoppond/platform/runner_port.h"
+#include "hyssoppond/platform/worker_port.h"
+#include "hyssoppond/routing/call_executor_base.h"
+#include "hyssoppond/rpc/rpc_server_base.h"
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+namespace hyssoppond {
+
+/// Settings of an agent.
+struct agent_settings
+{
+    endpoint self;
+    std::vector<address> seeds;
+    address metrics;         ///< of the HTTP server with /metrics and /healthz
+    std::size_t threads = 2; ///< that run the state machines
+    gang_options gang;
+};
+
+/// One agent process. start() and stop() from one thread.
+class agent_node
+{
+public:
+    /// Ports for what the endpoint serves; null: serves none. They end with the agent.
+    agent_node(agent_settings settings, std::unique_ptr<worker_port> worker,
+               std::unique_ptr<runner_port> runner, counter_registry *counters);
+    ~agent_node();
+    agent_node(const agent_node &) = delete;
+    agent_node &operator=(const agent_node &) = delete;
+
+    /// Error: an address cannot be used.
+    result<void> start();
+    /// Announces the departure, refuses new work, finishes running calls and waits until the
+    /// gangs have been ended by the coordinator, all until `deadline`; then closes.
+    void stop(absl::Time deadline);
+
+private:
+    void onGang(const frame &got);
+    void onCall(const frame &got);
+    void onConfig(const journal::config_item &item);
+    void setLeaving(bool leaving);
+    bool isBusy();
+    gang_agent_hooks gangHooks();
+    executor_hooks callHooks();
+
+    agent_settings m_settings;
+    counter_registry *m_counters;
+    std::unique_ptr<worker_port> m_worker;
+    std::unique_ptr<runner_port> m_runner;
+    std::atomic<bool> m_departing = false;
+    std::unique_ptr<thread_pool> m_pool;
+    std::unique_ptr<node_link> m_link;
+    std::unique_ptr<gang_member_agent> m_gangs; ///< null: serves no worker
+    std::unique_ptr<call_executor> m_calls;     ///< null: serves no runner
+    std::unique_ptr<machine_runner> m_gangRunner;
+    std::unique_ptr<machine_runner> m_callRunner;
+    rpc_server m_http;
+};
+
+} // namespace hyssoppond
--- a/include/hyssoppond/base/machine_runner_base.h
+++ b/include/hyssoppond/base/machine_runner_base.h
@@ -6,10 +6,10 @@
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 
-#include <atomic>
 #include <cstddef>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace hyssoppond {
@@ -27,6 +27,8 @@
     machine_runner(const machine_runner &) = delete;
     machine_runner &operator=(const machine_runner &) = delete;
 
+    /// Begins to run tasks and ticks. Tasks posted earlier wait for it.
+    void start();
     /// Queues a task; false if the queue is full or the runner has stopped.
     bool post(std::function<void()> task);
     /// Refuses new tasks and waits until the queued ones have run. Not to be called by a task.
@@ -44,7 +46,9 @@
     std::deque<std::function<void()>> m_tasks ABSL_GUARDED_BY(m_mutex);
     bool m_scheduled ABSL_GUARDED_BY(m_mutex) = false;
     bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
-    deadline_timer m_timer;
+    bool m_started ABSL_GUARDED_BY(m_mutex) = false;
+    const std::string m_name;
+    std::unique_ptr<deadline_timer> m_timer; ///< set by start()
 };
 
 } // namespace hyssoppond
--- a/include/hyssoppond/journal/cluster_type.h
+++ b/include/hyssoppond/journal/cluster_type.h
@@ -38,6 +38,7 @@
     absl::Time changedAt = absl::InfinitePast(); ///< record time of the last change
     attempt_outcome lastOutcome = attempt_outcome::Completed;
     double runSeconds = 0; ///< of all attempts
+    contract_id contract;  ///< of the current attempt; empty: borrowed
 
     bool isEnded() const { return state >= job_state::Completed; }
     bool isOnWorkers() const { return state == job_state::Placed || state == job_state::Running; }
@@ -46,7 +47,8 @@
     void serialize(archive &ar)
     {
         ar(spec, state, attempt, domain, epoch, members, cancelRequested, suspendRequested,
-           requeueRequested, submitted, placedAt, startedAt, changedAt, lastOutcome, runSeconds);
+           requeueRequested, submitted, placedAt, startedAt, changedAt, lastOutcome, runSeconds,
+           contract);
     }
 };
 
--- a/include/hyssoppond/journal/record_type.h
+++ b/include/hyssoppond/journal/record_type.h
@@ -71,11 +71,12 @@
     attempt_number attempt = 0;
     epoch_number epoch = 0;
     std::vector<gang_member> members;
+    contract_id contract = {}; ///< that guarantees the placement; empty: borrowed
 
     template<class archive>
     void serialize(archive &ar)
     {
-        ar(domain, job, attempt, epoch, members);
+        ar(domain, job, attempt, epoch, members, contract);
     }
 };
 
@@ -87,11 +88,12 @@
     job_spec spec;
     epoch_number epoch = 0;
     std::vector<gang_member> members; ///< of attempt 1
+    contract_id contract = {};        ///< that guarantees the placement
 
     template<class archive>
     void serialize(archive &ar)
     {
-        ar(domain, spec, epoch, members);
+        ar(domain, spec, epoch, members, contract);
     }
 };
 
--- /dev/null
+++ b/src/agent/agent_node.cpp
@@ -0,0 +1,215 @@
+/// @file Implementation of the agent process.
+#include "hyssoppond/agent/agent_node_base.h"
+
+#include "hyssoppond/base/log_func.h"
+#include "hyssoppond/gang/gang_codec_func.h"
+#include "serial_ports.h"
+
+#include <absl/strings/str_format.h>
+#include <absl/time/clock.h>
+
+#include <utility>
+
+namespace hyssoppond {
+
+namespace {
+
+constexpr std::size_t MaxQueuedTasks = 20'000;
+constexpr std::size_t PoolQueue = 64; ///< each runner queues one task at a time
+constexpr absl::Duration BusyPoll = absl::Milliseconds(50);
+
+accelerator_mask allOf(std::uint32_t accelerators)
+{
+    return static_cast<accelerator_mask>((1U << accelerators) - 1U);
+}
+
+} // namespace
+
+agent_node::agent_node(agent_settings settings, std::unique_ptr<worker_port> worker,
+                       std::unique_ptr<runner_port> runner, counter_registry *counters)
+    : m_settings(std::move(settings))
+    , m_counters(counters)
+    , m_worker(std::move(worker))
+    , m_runner(std::move(runner))
+    , m_pool(std::make_unique<thread_pool>("machines", m_settings.threads, PoolQueue))
+    , m_http({.listen = m_settings.metrics, .threads = 1}, counters)
+{
+    node_link_hooks hooks;
+    hooks.onGang = [this](const frame &got) { onGang(got); };
+    hooks.onCall = [this](const frame &got) { onCall(got); };
+    hooks.onConfig = [this](const journal::config_item &item) { onConfig(item); };
+    m_link = std::make_unique<node_link>(
+        node_link_settings {m_settings.self, process_role::Agent, m_settings.seeds},
+        std::move(hooks), m_pool.get(), counters);
+    m_http.addPage("/metrics",
+                   [this] { return http_page {.body = m_counters->renderPrometheus()}; });
+    m_http.addPage("/healthz", [this] {
+        return m_departing ? http_page {503, "text/plain", "leaving\n"}
+                           : http_page {200, "text/plain", "ok\n"};
+    });
+}
+
+agent_node::~agent_node()
+{
+    stop(absl::InfinitePast());
+}
+
+gang_agent_hooks agent_node::gangHooks()
+{
+    gang_agent_hooks hooks;
+    hooks.send = [this](const process_id &to, const gang_message &what) {
+        m_link->send(to, channel::Gang, encode(what));
+    };
+    hooks.onDropped = [this](reason why) { m_counters->count(event::Dropped, why); };
+    hooks.onMemberState = [this](const member_report &report) {
+        m_counters->add("gang_member_changes");
+        writeLog(log_level::Info, "gang member changed state",
+                 {{"job", report.id.job.str()},
+                  {"attempt", absl::StrFormat("%d", report.id.attempt)},
+                  {"member", absl::StrFormat("%d", report.id.member)},
+                  {"state", std::string(GangMemberStateNames.name(report.state))},
+                  {"reason", std::string(ReasonNames.name(report.why))}});
+    };
+    return hooks;
+}
+
+executor_hooks agent_node::callHooks()
+{
+    executor_hooks hooks;
+    hooks.send = [this](const process_id &to, const call_message &what) {
+        m_link->send(to, channel::Call, encode(what));
+    };
+    hooks.count = [this](event what, reason why) { m_counters->count(what, why); };
+    return hooks;
+}
+
+result<void> agent_node::start()
+{
+    const endpoint &self = m_settings.self;
+    if (m_worker) {
+        auto port = std::make_shared<serial_worker_port>(m_worker.get());
+        m_gangs = std::make_unique<gang_member_agent>(
+            self.agent, self.incarnation, allOf(self.servedWorker.accelerators), port.get(),
+            m_settings.gang, m_link->env(), gangHooks());
+        m_gangRunner = std::make_unique<machine_runner>(
+            "gangs", m_pool.get(), MaxQueuedTasks, [this, port] { m_gangs->tick(); },
+            [this] { return m_gangs->nextDeadline(); });
+        port->runner = m_gangRunner.get();
+        m_gangRunner->start();
+    }
+    if (m_runner) {
+        auto port = std::make_shared<serial_runner_port>(m_runner.get());
+        executor_settings limits;
+        limits.agent = self.agent;
+        limits.incarnation = self.incarnation;
+        limits.slots = self.servedRunner.slots;
+        limits.connections = self.servedRunner.connections;
+        executor_hooks hooks = callHooks();
+        hooks.runner = port.get();
+        m_calls = std::make_unique<call_executor>(limits, m_link->env(), std::move(hooks));
+        m_callRunner = std::make_unique<machine_runner>(
+            "calls", m_pool.get(), MaxQueuedTasks, [this, port] { m_calls->tick(); },
+            [this] { return m_calls->nextDeadline(); });
+        port->runner = m_callRunner.get();
+        m_callRunner->start();
+    }
+    auto served = m_http.start();
+    if (!served)
+        return served;
+    return m_link->start();
+}
+
+void agent_node::onGang(const frame &got)
+{
+    auto message = decodeGangMessage(got.payload);
+    if (!message)
+        return m_counters->count(event::Dropped, message.error().why);
+    if (!m_gangRunner)
+        return m_counters->count(event::Dropped, reason::UnknownEndpoint);
+    m_gangRunner->post(
+        [this, from = got.sender, what = std::move(*message)] { m_gangs->receive(from, what); });
+}
+
+void agent_node::onCall(const frame &got)
+{
+    auto message = decodeCall(got.payload);
+    if (!message)
+        return m_counters->count(event::Dropped, message.error().why);
+    if (!m_callRunner)
+        return m_counters->count(event::Dropped, reason::UnknownEndpoint);
+    m_callRunner->post(
+        [this, from = got.sender, what = std::move(*message)] { m_calls->receive(from, what); });
+}
+
+void agent_node::onConfig(const journal::config_item &item)
+{
+    m_counters->set("config_version", static_cast<double>(item.version));
+    if (item.key == "drain/" + m_settings.self.agent.str())
+        setLeaving(!item.value.empty());
+}
+
+void agent_node::setLeaving(bool leaving)
+{
+    const bool refuse = leaving || m_departing;
+    if (m_gangRunner)
+        m_gangRunner->post([this, refuse] { m_gangs->setLeaving(refuse); });
+    if (m_callRunner)
+        m_callRunner->post([this, refuse] { m_calls->setLeaving(refuse); });
+}
+
+bool agent_node::isBusy()
+{
+    absl::Mutex mutex;
+    int open = 0;
+    bool busy = false;
+    const auto ask = [&](machine_runner *runner, const std::function<bool()> &question) {
+        if (runner == nullptr)
+            return;
+        {
+            const absl::MutexLock lock(&mutex);
+            ++open;
+        }
+        const bool posted = runner->post([&, question] {
+            const bool answer = question();
+            const absl::MutexLock lock(&mutex);
+            busy = busy || answer;
+            --open;
+        });
+        if (!posted) {
+            const absl::MutexLock lock(&mutex);
+            --open;
+        }
+    };
+    ask(m_gangRunner.get(), [this] { return !m_gangs->members().empty(); });
+    ask(m_callRunner.get(), [this] { return !m_calls->isIdle(); });
+    const absl::MutexLock lock(&mutex);
+    const auto answered = [&] { return open == 0; };
+    mutex.Await(absl::Condition(&answered));
+    return busy;
+}
+
+void agent_node::stop(absl::Time deadline)
+{
+    if (!m_pool)
+        return;
+    m_departing = true;
+    m_link->leave();
+    setLeaving(true);
+    while (absl::Now() < deadline && isBusy())
+        absl::SleepFor(BusyPoll);
+    m_http.stop(absl::Now() + absl::Seconds(1));
+    m_link->stop(std::min(deadline, absl::Now() + absl::Seconds(1)));
+    if (m_callRunner)
+        m_callRunner->stop();
+    if (m_gangRunner)
+        m_gangRunner->stop();
+    m_runner.reset(); // waits for completions, which post to the stopped runners
+    m_worker.reset();
+    m_pool->stop();
+    m_gangRunner.reset();
+    m_callRunner.reset();
+    m_link.reset();
+    m_pool.reset();
+}
+
+} // namespace hyssoppond
--- a/src/base/machine_runner.cpp
+++ b/src/base/machine_runner.cpp
@@ -23,15 +23,24 @@
     , m_maxQueued(maxQueued)
     , m_tick(std::move(tick))
     , m_nextDeadline(std::move(nextDeadline))
-    , m_timer(name, [this] {
-        const absl::MutexLock lock(&m_mutex);
-        if (!m_stopping)
-            schedule();
-        return m_scheduled || m_stopping ? absl::InfiniteFuture()
-                                         : absl::Now() + RetryWhenPoolIsFull;
-    })
+    , m_name(name)
 { }
 
+void machine_runner::start()
+{
+    m_timer = std::make_unique<deadline_timer>(m_name, [this] {
+        const absl::MutexLock lock(&m_mutex);
+        if (!m_started || m_stopping)
+            return absl::InfiniteFuture();
+        schedule();
+        return m_scheduled ? absl::InfiniteFuture() : absl::Now() + RetryWhenPoolIsFull;
+    });
+    // Only now: a task uses m_timer.
+    const absl::MutexLock lock(&m_mutex);
+    m_started = true;
+    schedule();
+}
+
 machine_runner::~machine_runner()
 {
     stop();
@@ -39,7 +48,7 @@
 
 void machine_runner::schedule()
 {
-    if (!m_scheduled)
+    if (m_started && !m_scheduled)
         m_scheduled = m_pool->post([this] { drain(); });
 }
 
@@ -51,10 +60,10 @@
             return false;
         m_tasks.push_back(std::move(task));
         schedule();
-        if (m_scheduled)
+        if (m_scheduled || !m_started)
             return true;
     }
-    m_timer.wakeAt(absl::Now() + RetryWhenPoolIsFull);
+    m_timer->wakeAt(absl::Now() + RetryWhenPoolIsFull);
     return true;
 }
 
@@ -72,7 +81,7 @@
         task();
     m_tick();
     const absl::Time next = std::max(m_nextDeadline(), absl::Now() + ShortestTick);
-    m_timer.wakeAt(next);
+    m_timer->wakeAt(next);
     const absl::MutexLock lock(&m_mutex);
     m_scheduled = false;
     if (!m_tasks.empty())
@@ -81,7 +90,8 @@
 
 void machine_runner::stop()
 {
-    m_timer.stop();
+    if (m_timer)
+        m_timer->stop();
     const auto idle = [this]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) { return !m_scheduled; };
     const absl::MutexLock lock(&m_mutex);
     m_stopping = true;
--- /dev/null
+++ b/src/entry/cluster_follow.cpp
@@ -0,0 +1,257 @@
+/// @file Following the journal: each accepted record changes the scheduler in the same way in all
+/// entries.
+#include "hyssoppond/entry/cluster_table_base.h"
+
+#include "hyssoppond/base/log_func.h"
+#include "hyssoppond/entry/config_value_func.h"
+
+#include <absl/strings/str_format.h>
+
+#include <variant>
+
+namespace hyssoppond {
+
+void cluster_table::expect(const result<void> &outcome)
+{
+    if (outcome)
+        return;
+    // The journal accepted what the scheduler refuses; the operator must know of it.
+    m_hooks.count(event::Dropped, outcome.error().why);
+    writeLog(log_level::Warn, "scheduler does not follow a record",
+             {{"reason", std::string(ReasonNames.name(outcome.error().why))},
+              {"detail", outcome.error().message},
+              {"offset", absl::StrFormat("%d", m_state.offset())}});
+}
+
+void cluster_table::onRecord(journal_offset offset, const journal::journal_record &record,
+                             const journal::verdict &decision)
+{
+    if (!decision.accepted || decision.repeated) {
+        if (!decision.accepted)
+            m_hooks.count(event::Dropped, decision.why);
+        if (const auto *placed = std::get_if<journal::job_placed>(&record.body))
+            m_proposed.erase(placed->job);
+        return;
+    }
+    if (const auto *changed = std::get_if<journal::config_changed>(&record.body)) {
+        const bool here = record.id.process == m_settings.self
+            && record.id.incarnation == m_settings.incarnation;
+        m_hooks.onConfigAccepted({changed->key, changed->value, offset, record.at}, here);
+        return;
+    }
+    std::visit([this](const auto &body) { follow(body); }, record.body);
+}
+
+void cluster_table::follow(const journal::job_submitted &body)
+{
+    if (m_scheduler->find(body.spec.id) != nullptr)
+        return; // started under the outage right
+    expect(m_scheduler->restore(body.spec, 1));
+    if (body.spec.held)
+        expect(m_scheduler->hold(body.spec.id));
+}
+
+void cluster_table::follow(const journal::job_command &body)
+{
+    const auto change = [&]() -> result<void> {
+        switch (body.kind) {
+        case journal::command_kind::Cancel:
+            return m_scheduler->cancel(body.job);
+        case journal::command_kind::Hold:
+            return m_scheduler->hold(body.job);
+        case journal::command_kind::Release:
+            return m_scheduler->release(body.job);
+        case journal::command_kind::Suspend:
+            return m_scheduler->suspend(body.job);
+        case journal::command_kind::Resume:
+            return m_scheduler->resume(body.job);
+        case journal::command_kind::Requeue:
+            return m_scheduler->requeue(body.job);
+        }
+        return {};
+    };
+    expect(change());
+    const auto *entry = m_state.findJob(body.job);
+    if (entry == nullptr)
+        return;
+    if (entry->isEnded())
+        replyWaiters(body.job);
+    if (m_leading)
+        stopFor(*entry);
+}
+
+void cluster_table::follow(const journal::job_placed &body)
+{
+    m_proposed.erase(body.job);
+    expect(m_scheduler->placementAccepted(body.job, body.attempt, body.members, body.contract));
+    if (m_leading && body.epoch == epoch())
+        startGang(body.job, body.attempt);
+}
+
+void cluster_table::follow(const journal::outage_placed &body)
+{
+    const job_id id = body.spec.id;
+    const auto own = m_outageJobs.find(id);
+    if (own != m_outageJobs.end()) {
+        record(journal::gang_started {m_settings.domain, id, 1, epoch(), m_env.now()});
+        if (const auto &ended = own->second.ended)
+            record(journal::attempt_ended {m_settings.domain, id, 1, epoch(), ended->first,
+                                           m_env.now(), ended->second});
+        m_outageJobs.erase(own);
+        return;
+    }
+    if (m_scheduler->find(id) == nullptr)
+        expect(m_scheduler->restore(body.spec, 1));
+    expect(m_scheduler->placementAccepted(id, 1, body.members, body.contract));
+    if (m_leading)
+        takeOverGangs();
+}
+
+void cluster_table::follow(const journal::gang_started &body)
+{
+    const job_entry *known = m_scheduler->find(body.job);
+    if (known != nullptr && known->state == job_state::Running)
+        return;
+    expect(m_scheduler->gangStarted(body.job, body.attempt, body.startedAt));
+}
+
+void cluster_table::follow(const journal::attempt_ended &body)
+{
+    const job_entry *known = m_scheduler->find(body.job);
+    // A gang that ended during an outage is known before its record.
+    if (known == nullptr || known->isActive())
+        expect(m_scheduler->attemptEnded(body.job, body.attempt, body.outcome, body.endedAt,
+                                         body.runSeconds));
+    const auto *entry = m_state.findJob(body.job);
+    if (entry != nullptr && entry->isEnded()) {
+        replyWaiters(body.job);
+        m_ended.insert(body.job);
+    }
+}
+
+void cluster_table::follow(const journal::decider_grant &body)
+{
+    const bool mine = body.holder == m_settings.self && body.incarnation == m_settings.incarnation;
+    if (m_leading && !mine) {
+        m_leading = false;
+        m_coordinator.resign();
+        m_proposed.clear();
+    }
+    writeLog(log_level::Info, "decider grant",
+             {{"holder", body.holder.str()},
+              {"epoch", absl::StrFormat("%d", body.epoch)},
+              {"offset", absl::StrFormat("%d", m_state.offset())}});
+}
+
+void cluster_table::follow(const journal::endpoint_announced &body)
+{
+    if (!body.announced.servedWorker.id.isEmpty())
+        expect(m_scheduler->addWorker(body.announced.servedWorker));
+    applyDrains();
+}
+
+void cluster_table::follow(const journal::endpoint_gone &body)
+{
+    const auto known = m_state.endpoints().find(body.agent);
+    if (known == m_state.endpoints().end() || known->second.announced.servedWorker.id.isEmpty())
+        return;
+    expect(m_scheduler->removeWorker(known->second.announced.servedWorker.id));
+}
+
+void cluster_table::replay(const journal::job_entry &job)
+{
+    const job_id &id = job.spec.id;
+    if (job.isEnded())
+        return;
+    expect(m_scheduler->restore(job.spec, job.attempt));
+    if (job.state == job_state::Held)
+        expect(m_scheduler->hold(id));
+    if (job.state == job_state::Suspended)
+        expect(m_scheduler->suspend(id));
+    if (!job.isOnWorkers())
+        return;
+    expect(m_scheduler->placementAccepted(id, job.attempt, job.members, job.contract));
+    if (job.state == job_state::Running)
+        expect(m_scheduler->gangStarted(id, job.attempt, job.startedAt));
+    if (job.cancelRequested)
+        expect(m_scheduler->cancel(id));
+    else if (job.suspendRequested)
+        expect(m_scheduler->suspend(id));
+}
+
+void cluster_table::onRestored()
+{
+    m_scheduler = std::make_unique<scheduler>();
+    m_coordinator.resign();
+    m_leading = false;
+    m_proposed.clear();
+    m_drained.clear();
+    for (const auto &[key, item] : m_config)
+        applyToScheduler(item);
+    for (const auto &[key, entry] : m_state.config())
+        m_hooks.onConfigAccepted({key, entry.value, entry.version, entry.changedAt}, false);
+    for (const auto &[agent, entry] : m_state.endpoints()) {
+        if (!entry.gone && !entry.announced.servedWorker.id.isEmpty())
+            expect(m_scheduler->addWorker(entry.announced.servedWorker));
+    }
+    applyDrains();
+    for (const auto &[id, job] : m_state.jobs())
+        replay(job);
+}
+
+void cluster_table::applyToScheduler(const journal::config_item &item)
+{
+    const auto value = parseConfig(item.key, item.value);
+    if (!value)
+        return expect(tl::unexpected<error>(value.error()));
+    if (const auto *group = std::get_if<team>(&*value))
+        expect(item.value.empty() ? m_scheduler->removeTeam(group->id)
+                                  : m_scheduler->setTeam(*group));
+    if (const auto *promise = std::get_if<contract>(&*value))
+        expect(item.value.empty() ? m_scheduler->removeContract(promise->id)
+                                  : m_scheduler->setContract(*promise));
+}
+
+void cluster_table::applyConfig(const journal::config_item &item)
+{
+    m_config[item.key] = item;
+    applyToScheduler(item);
+    applyDrains();
+}
+
+void cluster_table::applyDrains()
+{
+    for (const auto &[agent, entry] : m_state.endpoints()) {
+        const worker_id &worker = entry.announced.servedWorker.id;
+        if (entry.gone || worker.isEmpty())
+            continue;
+        const auto key = m_config.find("drain/" + agent.str());
+        const auto member = m_members.find(agent);
+        const bool leaving
+            = member != m_members.end() && member->second.state == member_state::Leaving;
+        const bool drain = leaving || (key != m_config.end() && !key->second.value.empty());
+        if (drain == m_drained.contains(worker))
+            continue;
+        // Set only on a change, because it would end a guard otherwise.
+        expect(m_scheduler->setWorkerCondition(
+            worker, drain ? worker_condition::Draining : worker_condition::Usable));
+        if (drain)
+            m_drained.insert(worker);
+        else
+            m_drained.erase(worker);
+    }
+}
+
+void cluster_table::dropForgotten()
+{
+    for (auto it = m_ended.begin(); it != m_ended.end();) {
+        if (m_state.findJob(*it) != nullptr) {
+            ++it;
+            continue;
+        }
+        (void)m_scheduler->forget(*it);
+        it = m_ended.erase(it);
+    }
+}
+
+} // namespace hyssoppond
--- a/src/journal/cluster_jobs.cpp
+++ b/src/journal/cluster_jobs.cpp
@@ -175,6 +175,7 @@
     job.domain = body.domain;
     job.epoch = body.epoch;
     job.members = body.members;
+    job.contract = body.contract;
     job.placedAt = m_recordTime;
     job.changedAt = m_time;
     job.requeueRequested = false;
@@ -206,6 +207,7 @@
     job.domain = body.domain;
     job.epoch = body.epoch;
     job.members = body.members;
+    job.contract = body.contract;
     job.placedAt = m_recordTime;
     job.changedAt = m_time;
     // The gang holds these accelerators at its agents, which refuse any placement that overlaps.
--- a/src/node/node_link.cpp
+++ b/src/node/node_link.cpp
@@ -135,7 +135,12 @@
     if (!opened)
         return opened;
     m_settings.self.control = m_transport->localAddress();
-    return m_membership.start(m_settings.self, m_settings.role, m_settings.seeds);
+    auto joined = m_membership.start(m_settings.self, m_settings.role, m_settings.seeds);
+    if (!joined)
+        return joined;
+    m_members.start();
+    m_gossiping.start();
+    return {};
 }
 
 void node_link::leave()
--- a/src/rpc/rpc_client.cpp
+++ b/src/rpc/rpc_client.cpp
@@ -40,6 +40,17 @@
               : absl::StrFormat("http://%s:%d%s", entry.host, entry.port, path);
 }
 
+/// Copy of a request that says that an earlier one with its id had an unknown outcome.
+std::unique_ptr<google::protobuf::Message> asRetry(const google::protobuf::Message &request)
+{
+    std::unique_ptr<google::protobuf::Message> copy(request.New());
+    copy->CopyFrom(request);
+    const auto *field = copy->GetDescriptor()->FindFieldByName("retry");
+    if (field != nullptr)
+        copy->GetReflection()->SetBool(copy.get(), field, true);
+    return copy;
+}
+
 /// True if the request certainly never reached the server.
 bool neverSent(CURLcode code)
 {
@@ -120,7 +131,7 @@
 {
     implementation &client = *m_implementation;
     const auto encoding = client.options.json ? body_encoding::Json : body_encoding::Binary;
-    const std::string body = encodeBody(request, encoding);
+    std::string body = encodeBody(request, encoding);
     const std::size_t count = client.options.entries.size();
     if (count == 0)
         return fail(reason::InvalidArgument, "no entry is known; give --entry HOST:PORT");
@@ -157,6 +168,8 @@
             return tl::unexpected<error>(std::move(problem));
         absl::SleepFor(when - absl::Now());
         backoff = std::min(backoff * 2, LargestBackoff);
+        if (problem.state == execution::Unknown)
+            body = encodeBody(*asRetry(request), encoding);
     }
 }
 
