--- a/src/journal/journal_follow.cpp
+++ b/src/journal/journal_follow.cpp
@@ -104,7 +104,7 @@
     const absl::Time now = m_env.now();
     m_caughtUp = false;
     if (problem.why == reason::Expired) {
-        m_rescan.emplace();
+        m_rescan = rescan();
         m_nextReadAt = now;
         count(event::Retried, reason::Expired);
         return;
@@ -147,7 +147,7 @@
     const result<void> restored = m_state->restore(found.bytes());
     if (!restored) {
         count(event::Dropped, restored.error().why);
-        m_rescan.emplace();
+        m_rescan = rescan();
         return;
     }
     m_snapshots.noteComplete(found.newest());
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -1,10 +1,14 @@
 /// @file Tests of the journal's codec, reduction and client.
 #include "hyssoppond/fakes/fake_log_base.h"
+#include "hyssoppond/fakes/fake_network_base.h"
 #include "hyssoppond/journal/cluster_state_base.h"
+#include "hyssoppond/journal/config_gossip_base.h"
 #include "hyssoppond/journal/journal_client_base.h"
 #include "hyssoppond/journal/record_codec_func.h"
 
 #include <gtest/gtest.h>
+
+#include <algorithm>
 #include <random>
 
 namespace hyssoppond::journal {
@@ -298,5 +302,65 @@
     EXPECT_LE(log.appends, 200U);
 }
 
+// Guards against a revert: reordered and duplicated changes must leave the newest of each key.
+TEST(ConfigStore, NeverReverts)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        std::mt19937_64 random(seed);
+        std::vector<config_item> items;
+        for (journal_offset version = 1; version <= 40; ++version)
+            items.push_back({"k" + std::to_string(random() % 5), std::to_string(version), version,
+                             absl::FromUnixSeconds(1)});
+        config_store ordered;
+        for (const config_item &item : items)
+            ordered.merge(item);
+        items.insert(items.end(), items.begin(), items.begin() + 20);
+        std::shuffle(items.begin(), items.end(), random);
+        config_store mixed;
+        std::map<std::string, journal_offset> seen;
+        mixed.onChange = [&](const config_item &item) {
+            EXPECT_GT(item.version, std::exchange(seen[item.key], item.version));
+        };
+        for (const config_item &item : items)
+            mixed.merge(item);
+        EXPECT_EQ(mixed.hash(), ordered.hash());
+        EXPECT_EQ(mixed.highest(), 40U);
+    }
+}
+
+// Guards against a process that starts during an outage and never gets all of a configuration
+// larger than one message, in particular when it heard of the newest change first.
+TEST(ConfigGossip, NewProcessFetchesEverythingFromAPeer)
+{
+    virtual_clock clock(3);
+    fake_network<config_message> network(&clock);
+    network.setConditions({.loss = 0.1});
+    std::map<process_id, config_store> stores;
+    std::map<process_id, std::unique_ptr<config_gossip>> nodes;
+    const process_id a("a");
+    const process_id b("b");
+    for (const auto &[self, peer] : {std::pair(a, b), std::pair(b, a)}) {
+        gossip_hooks hooks;
+        hooks.send = [&network, self = self](const process_id &to, const config_message &what) {
+            network.send(self, to, *decodeConfig(encode(what)));
+        };
+        hooks.randomPeers = [peer = peer](std::size_t) { return std::vector {peer}; };
+        nodes[self] = std::make_unique<config_gossip>(clock.hooks(), &stores[self], hooks);
+        network.attach(self, [&nodes, self = self](const process_id &from, const auto &what) {
+            nodes[self]->receive(from, what);
+        });
+        clock.every(absl::Milliseconds(50), [&nodes, self = self] {
+            nodes[self]->tick();
+            return true;
+        });
+    }
+    for (journal_offset version = 1; version <= 1000; ++version)
+        stores[a].merge({"key" + std::to_string(version), "value", version, clock.now()});
+    stores[b].merge(*stores[a].find("key1000"));
+    clock.runFor(absl::Seconds(30));
+    EXPECT_EQ(stores[b].hash(), stores[a].hash());
+    EXPECT_EQ(stores[b].size(), 1000U);
+}
+
 } // namespace
 } // namespace hyssoppond::journal
