--- a/include/hyssoppond/journal/cluster_state_base.h
+++ b/include/hyssoppond/journal/cluster_state_base.h
@@ -25,6 +25,8 @@
     absl::Duration removedKeyRetention = absl::Hours(24); ///< of removed keys and gone endpoints
     absl::Duration writerRetention = absl::Hours(24);     ///< of the windows of seen records
     absl::Duration pruneInterval = absl::Minutes(1);      ///< in record time
+    /// Off only in fault cells: placements of earlier epochs are then valid.
+    bool fenceByEpoch = true;
 };
 
 /// State of the cluster. All processes that apply the same payloads have the same state and give
--- a/src/journal/cluster_jobs.cpp
+++ b/src/journal/cluster_jobs.cpp
@@ -151,7 +151,9 @@
 verdict cluster_state::checkPlacement(const job_entry &job, const job_placed &body) const
 {
     const domain_entry *domain = findDomain(body.domain);
-    if (domain == nullptr || domain->epoch != body.epoch || domain->holder.isEmpty())
+    const bool current
+        = domain != nullptr && domain->epoch == body.epoch && !domain->holder.isEmpty();
+    if (m_options.fenceByEpoch && !current)
         return reject(reason::StaleEpoch, domain == nullptr ? 0 : domain->epoch);
     if (job.state != job_state::Queued)
         return reject(reason::WrongState);
