--- a/src/journal/journal_append.cpp
+++ b/src/journal/journal_append.cpp
@@ -29,7 +29,7 @@
     const absl::Time now = m_env.now();
     pending entry {
         {{m_self, m_incarnation, counter}, now, std::move(body)}, 0, deadline, std::move(done)};
-    const record_id id = entry.record.id;
+    record_id id = entry.record.id;
     entry.bytes = encodeBatch({entry.record}).size();
     const std::size_t bytes = entry.bytes;
     if (m_queue.empty())
