--- a/faults/gang_checker.cpp
+++ b/faults/gang_checker.cpp
@@ -93,6 +93,11 @@
     const absl::Duration bound
         = site.options.lease + site.options.maxClockSkew + absl::Milliseconds(100);
     for (const auto &[number, runs] : attempts) {
+        std::set<std::uint32_t> ran;
+        for (const seen_run &run : runs) {
+            if (!ran.insert(run.member).second)
+                return absl::StrFormat("I5: a member of attempt %d ran twice", number);
+        }
         const absl::Duration partial = longestPartial(runs, members);
         if (partial > bound) {
             return absl::StrFormat("I2: a part of attempt %d ran for %s without the rest", number,
--- a/faults/gang_site.cpp
+++ b/faults/gang_site.cpp
@@ -161,6 +161,10 @@
     };
     hooks.onStarted
         = [this](const job_id &job, attempt_number attempt) { starts.emplace_back(job, attempt); };
+    hooks.onDiscovered = [this](const gang_placement &found) {
+        if (onDiscovered)
+            onDiscovered(found);
+    };
     hooks.onRefused = [this](const gang_refusal &refusal) { refusals.push_back(refusal); };
     hooks.onEnded
         = [this](const job_id &job, attempt_number attempt, attempt_outcome outcome, double) {
--- a/faults/gang_site_base.h
+++ b/faults/gang_site_base.h
@@ -100,6 +100,7 @@
     std::uint64_t bytes = 0; ///< encoded, when countBytes
     bool countBytes = false;
     std::function<void(const told_end &)> onEnded;
+    std::function<void(const gang_placement &)> onDiscovered;
     std::function<void(const process_id &from, const gang_message &)> onSend;
 
     site_entry &addEntry(const std::string &name);
--- a/include/hyssoppond/gang/gang_coordinator_base.h
+++ b/include/hyssoppond/gang/gang_coordinator_base.h
@@ -43,6 +43,10 @@
     /// All members have applied a suspension (0) or resumption (100).
     std::function<void(const job_id &, attempt_number, std::uint32_t percent)> onThrottled;
     std::function<void(reason)> onDropped;
+    /// An agent knows a higher epoch: the attempt is forgotten here without onEnded.
+    std::function<void(const job_id &, attempt_number, epoch_number)> onSuperseded;
+    /// An attempt that discover() found on an agent and that is not coordinated here.
+    std::function<void(const gang_placement &)> onDiscovered;
 };
 
 /// Coordinator of all gangs that one decider has placed.
@@ -64,6 +68,8 @@
     /// Errors: UnknownJob, WrongState (not running).
     result<void> suspend(const job_id &job, attempt_number attempt);
     result<void> resume(const job_id &job, attempt_number attempt);
+    /// Asks agents for their attempts, so that a decider can rebuild what runs without the journal.
+    void discover(const std::vector<process_id> &agents, epoch_number epoch);
     /// Forgets all attempts without an effect, when this process is no longer the decider.
     void resign();
 
@@ -83,6 +89,7 @@
     void onReserved(attempt &a, const gang_header &header);
     void onStopped(attempt &a, const gang_stopped &m);
     void onState(attempt &a, const gang_state &m) const;
+    void onUnknown(const process_id &from, const gang_header &header, const gang_message &what);
     void onAlive(const process_id &from, attempt &a, const gang_alive &m);
     void advance(attempt &a);
     void advanceQuery(attempt &a);
@@ -96,13 +103,17 @@
     gang_header headerFor(const attempt &a, std::uint16_t to) const;
     void sendTo(const attempt &a, std::uint16_t member, const gang_message &what) const;
     void drop(reason why) const;
+    void noticePause();
 
     process_id m_self;
+    epoch_number m_epoch = 0; ///< of the last discover()
     gang_options m_options;
     environment m_env;
     gang_coordinator_hooks m_hooks;
     std::map<key, std::unique_ptr<attempt>> m_attempts;
-    std::map<key, absl::Time> m_ended; ///< until when a late gang_stopped is confirmed
+    absl::Time m_lastTick = absl::InfinitePast();
+    absl::Time m_resumedAt = absl::InfinitePast(); ///< end of the last pause of this process
+    std::map<key, absl::Time> m_ended;             ///< until when a late gang_stopped is confirmed
 };
 
 } // namespace hyssoppond
--- a/include/hyssoppond/gang/gang_member_agent_base.h
+++ b/include/hyssoppond/gang/gang_member_agent_base.h
@@ -73,6 +73,7 @@
 
     reason refusalOf(const gang_reserve &m) const;
     bool epochIsStale(const gang_header &header);
+    void refuseEpoch(const process_id &to, const gang_header &header);
     bool isHeld(const record &r) const;
     record *find(const gang_header &header);
     record &fencedRecord(const gang_header &header, absl::Time startBefore, reason why);
--- a/include/hyssoppond/gang/gang_options_type.h
+++ b/include/hyssoppond/gang/gang_options_type.h
@@ -16,7 +16,8 @@
     bool waitForFencing = true;   ///< end an attempt only when every member is fenced
     bool epochCheck = true;       ///< refuse lower epochs
     bool incarnationCheck = true; ///< refuse messages to earlier incarnations
-    bool startBefore = true;      ///< start nothing at or after startBefore
+    /// Start nothing after reserveUntil, startBefore and the first lease of the gang.
+    bool startBefore = true;
 };
 
 /// Durations of the protocol. Constraint: interval * 3 <= lease, so that one lost round of the tree
--- a/src/gang/coordinator_attempt.cpp
+++ b/src/gang/coordinator_attempt.cpp
@@ -208,6 +208,9 @@
     if (a.all(isStopped))
         return true;
     const absl::Time now = m_env.now();
+    // Another decider may have taken over during a pause; its agents get time to say so.
+    if (now < m_resumedAt + m_options.lease)
+        return false;
     // No lease is older than the last report of a member that has stopped, because the tree needs
     // all members. Without such a member, the gang may run on without a coordinator.
     absl::Time last = a.plan.startBefore + m_options.lease;
--- a/src/gang/gang_coordinator.cpp
+++ b/src/gang/gang_coordinator.cpp
@@ -22,6 +22,8 @@
                     "a placement needs a job, 1 to 512 members and a current epoch");
     if (m_attempts.contains(id) || m_ended.contains(id))
         return fail(reason::WrongState, "this attempt is already coordinated; use a new attempt");
+    if (m_attempts.empty())
+        m_lastTick = m_env.now(); // without attempts nobody has to call tick()
     auto a = std::make_unique<attempt>();
     a->placement = placement;
     a->members.resize(placement.members.size());
@@ -112,24 +114,28 @@
 
 void gang_coordinator::receive(const process_id &from, const gang_message &what)
 {
+    noticePause();
+    // What was waiting during the pause says nothing about now; the agents answer again.
+    if (m_env.now() < m_resumedAt + m_options.firstRetry)
+        return drop(reason::LateAnswer);
     const gang_header &header
         = std::visit([](const auto &m) -> const gang_header & { return m.header; }, what);
     attempt *a = find(header);
-    if (a == nullptr) {
-        const auto ended = m_ended.find({header.job, header.attempt});
-        if (ended == m_ended.end() || !std::holds_alternative<gang_stopped>(what))
-            return drop(reason::LateAnswer);
-        gang_stop confirm;
-        confirm.header = {
-            header.job, header.attempt, header.epoch, header.placed, CoordinatorIndex, header.from,
-            0};
-        confirm.why = stop_cause::Finished;
-        return m_hooks.send(from, confirm);
+    if (a == nullptr)
+        return onUnknown(from, header, what);
+    const auto *no = std::get_if<gang_refused>(&what);
+    if (no != nullptr && no->why == reason::StaleEpoch) {
+        if (header.epoch <= a->placement.epoch)
+            return drop(reason::DuplicateMessage); // of an earlier coordinator
+        const auto superseded = m_attempts.extract({header.job, header.attempt});
+        if (m_hooks.onSuperseded)
+            m_hooks.onSuperseded(header.job, header.attempt, header.epoch);
+        return;
     }
     coordinated_member &member = a->members[header.from];
     if (std::holds_alternative<gang_reserved>(what))
         onReserved(*a, header);
-    else if (const auto *no = std::get_if<gang_refused>(&what))
+    else if (no != nullptr)
         refused(*a, header.from, no->why);
     else if (std::holds_alternative<gang_started>(what) && member.view != member_view::Stopped)
         member.view = member_view::Started;
@@ -148,9 +154,47 @@
     advance(*a);
 }
 
+void gang_coordinator::onUnknown(const process_id &from, const gang_header &header,
+                                 const gang_message &what)
+{
+    const auto *state = std::get_if<gang_state>(&what);
+    if (state != nullptr && state->plan.size() == 1 && m_hooks.onDiscovered) {
+        const gang_plan &plan = state->plan.front();
+        return m_hooks.onDiscovered(
+            {plan.spec, header.attempt, header.placed, m_epoch, plan.members});
+    }
+    if (!m_ended.contains({header.job, header.attempt})
+        || !std::holds_alternative<gang_stopped>(what))
+        return drop(reason::LateAnswer);
+    gang_stop confirm;
+    confirm.header = {
+        header.job, header.attempt, header.epoch, header.placed, CoordinatorIndex, header.from, 0};
+    confirm.why = stop_cause::Finished;
+    m_hooks.send(from, confirm);
+}
+
+void gang_coordinator::discover(const std::vector<process_id> &agents, epoch_number epoch)
+{
+    m_epoch = epoch;
+    gang_query query;
+    query.header.epoch = epoch;
+    query.wantPlan = true;
+    for (const process_id &agent : agents)
+        m_hooks.send(agent, query);
+}
+
+void gang_coordinator::noticePause()
+{
+    const absl::Time now = m_env.now();
+    if (!m_attempts.empty() && now - m_lastTick > m_options.lease)
+        m_resumedAt = now;
+    m_lastTick = now;
+}
+
 void gang_coordinator::tick()
 {
     const absl::Time now = m_env.now();
+    noticePause();
     std::vector<key> ids; // an attempt may end, and a hook may start another
     for (const auto &[id, a] : m_attempts)
         ids.push_back(id);
--- a/src/gang/gang_member_agent.cpp
+++ b/src/gang/gang_member_agent.cpp
@@ -196,6 +196,14 @@
     return false;
 }
 
+void gang_member_agent::refuseEpoch(const process_id &to, const gang_header &header)
+{
+    drop(reason::StaleEpoch);
+    gang_header answer {header.job, header.attempt,   m_epoch,      header.placed,
+                        header.to,  CoordinatorIndex, m_incarnation};
+    deliver(to, gang_refused {answer, reason::StaleEpoch});
+}
+
 gang_member_agent::record *gang_member_agent::find(const gang_header &header)
 {
     const auto it = m_records.find({header.job, header.attempt, header.to});
--- a/src/gang/member_lease.cpp
+++ b/src/gang/member_lease.cpp
@@ -167,7 +167,7 @@
         return drop(reason::StaleAttempt);
     if (m.header.from == CoordinatorIndex) {
         if (epochIsStale(m.header))
-            return drop(reason::StaleEpoch);
+            return refuseEpoch(from, m.header);
         r->coordinator = from;
         r->epoch = m.header.epoch;
         r->contactAt = std::max(r->contactAt, m.contactAt);
--- a/src/gang/member_reserve.cpp
+++ b/src/gang/member_reserve.cpp
@@ -35,11 +35,10 @@
 void gang_member_agent::onReserve(const process_id &from, const gang_reserve &m)
 {
     const gang_header &h = m.header;
-    gang_header answer {h.job, h.attempt, h.epoch, h.placed, h.to, CoordinatorIndex, m_incarnation};
-    if (epochIsStale(h)) {
-        answer.epoch = m_epoch;
-        return deliver(from, gang_refused {answer, reason::StaleEpoch});
-    }
+    const gang_header answer {h.job, h.attempt,        h.epoch,      h.placed,
+                              h.to,  CoordinatorIndex, m_incarnation};
+    if (epochIsStale(h))
+        return refuseEpoch(from, h);
     const task_id id {h.job, h.attempt, h.to};
     const auto it = m_records.find(id);
     if (it != m_records.end()) {
@@ -99,7 +98,7 @@
 void gang_member_agent::onStart(const process_id &from, const gang_start &m)
 {
     if (epochIsStale(m.header))
-        return drop(reason::StaleEpoch);
+        return refuseEpoch(from, m.header);
     const bool indexed = m.header.to < m.plan.members.size();
     if (!indexed)
         return drop(reason::InvalidArgument);
@@ -136,9 +135,11 @@
     r->plan.members = m.plan.members; // now with all incarnations
     // Once others may have been told "not started", only a member that started is a reason to
     // start.
-    if (r->settling || (m_env.now() >= r->plan.reserveUntil && m_options.mechanisms.settlement))
+    const bool late = m_env.now() >= r->plan.reserveUntil && m_options.mechanisms.startBefore;
+    if (r->settling || late)
         return drop(reason::Expired);
-    r->firstLease = m.leaseUntil;
+    if (m_options.mechanisms.startBefore)
+        r->firstLease = m.leaseUntil;
     r->state = member_state::Starting;
     report(*r);
     startTask(*r);
--- a/src/gang/member_stop.cpp
+++ b/src/gang/member_stop.cpp
@@ -107,7 +107,7 @@
     const gang_header &h = m.header;
     const bool fromCoordinator = h.from == CoordinatorIndex;
     if (fromCoordinator && epochIsStale(h))
-        return drop(reason::StaleEpoch);
+        return refuseEpoch(from, h);
     record *r = find(h);
     if (r == nullptr) {
         const task_id id {h.job, h.attempt, h.to};
@@ -175,7 +175,7 @@
     const gang_header &h = m.header;
     const bool fromCoordinator = h.from == CoordinatorIndex;
     if (fromCoordinator && epochIsStale(h))
-        return drop(reason::StaleEpoch);
+        return refuseEpoch(from, h);
     if (fromCoordinator && h.job.isEmpty()) {
         for (const auto &[id, r] : m_records) {
             deliver(from, stateOf(*r, CoordinatorIndex, m.wantPlan));
@@ -212,7 +212,7 @@
 void gang_member_agent::onThrottle(const process_id &from, const gang_throttle &m)
 {
     if (epochIsStale(m.header))
-        return drop(reason::StaleEpoch);
+        return refuseEpoch(from, m.header);
     record *r = find(m.header);
     if (r == nullptr || r->state != member_state::Running)
         return drop(reason::WrongState);
