--- a/faults/gang_cells.cpp
+++ b/faults/gang_cells.cpp
@@ -38,7 +38,7 @@
 const cell_registration Cells([] {
     std::vector<cell> all;
     for (const gang_fault &fault : gangFaults()) {
-        for (std::uint8_t i = 0; i < GangStepNames.names.size(); ++i) {
+        for (std::size_t i = 0; i < GangStepNames.names.size(); ++i) {
             const auto step = static_cast<gang_step>(i);
             const std::string name(GangStepNames.name(step));
             all.push_back({"I2", "gang-" + fault.name, name,
