--- a/include/hyssoppond/fakes/fake_members_base.h
+++ b/include/hyssoppond/fakes/fake_members_base.h
@@ -57,8 +57,9 @@
         , m_settings(settings)
     {
         network.setFilter([this](const process_id &from, const process_id &to, const auto &) {
-            return m_cuts.empty()
-                || !m_cuts.contains({nodeOf(from).self.zone, nodeOf(to).self.zone});
+            return (!allow || allow(from, to))
+                && (m_cuts.empty()
+                    || !m_cuts.contains({nodeOf(from).self.zone, nodeOf(to).self.zone}));
         });
     }
 
@@ -67,6 +68,8 @@
     membership_traffic local;  ///< within a zone
     membership_traffic remote; ///< across zones
     bool useCodec = true;      ///< false: messages are passed on without encoding, for speed
+    /// Returns false to lose a message; may be empty.
+    std::function<bool(const process_id &from, const process_id &to)> allow;
     /// Called for each change that a member sees.
     std::function<void(std::size_t observer, const member_view &)> onChange;
 
@@ -129,6 +132,12 @@
     }
     void healAll() { m_cuts.clear(); }
 
+    /// True if messages from one node to the other pass the cut zones.
+    bool canReach(std::size_t from, std::size_t to) const
+    {
+        return !m_cuts.contains({m_nodes[from].self.zone, m_nodes[to].self.zone});
+    }
+
     std::size_t size() const { return m_nodes.size(); }
     node &at(std::size_t index) { return m_nodes[index]; }
     /// State of `about` as `observer` sees its current incarnation; Dead if it is not known.
--- a/include/hyssoppond/membership/membership_base.h
+++ b/include/hyssoppond/membership/membership_base.h
@@ -21,7 +21,7 @@
 {
     bool refutation = true;       ///< a suspected member raises its counter
     bool indirectProbes = true;   ///< a silent member is also probed through others
-    bool retransmission = true;   ///< events are sent more than once and forwarded at once
+    bool retransmission = true;   ///< events are repeated, and members pass on what they hear
     bool incarnationCheck = true; ///< events about an earlier incarnation are outranked
     bool deadRetry = true;        ///< dead members are tried again at a low rate
     bool pauseCheck = true;       ///< a paused process distrusts the state from before the pause
@@ -39,7 +39,8 @@
     std::uint32_t forwardFanout = 3; ///< members to which an urgent event is forwarded at once
     absl::Duration forwardInterval = absl::Milliseconds(100); ///< at most one forwarding in it
     absl::Duration noticeInterval = absl::Milliseconds(300);  ///< between repetitions of a notice
-    std::uint32_t noticeAttempts = 6;
+    std::uint32_t fastNotices = 6;     ///< then one repetition for each period
+    std::uint32_t noticeAttempts = 60; ///< outlasts a loss of contact of most of a minute
     absl::Duration viewInterval = absl::Seconds(10);       ///< between exchanges of view digests
     absl::Duration joinInterval = absl::Milliseconds(200); ///< between requests while joining
     std::uint32_t bucketPackets = 4; ///< packets sent for one bucket request, at least one bucket
--- a/src/membership/events.cpp
+++ b/src/membership/events.cpp
@@ -102,7 +102,8 @@
     if (before.incarnation == next.incarnation)
         told.announcement = nullptr;
     disseminate(told, urgent);
-    if (next.leaving && !before.leaving && heardFrom == next.process)
+    if (next.leaving && !before.leaving && heardFrom == next.process
+        && settings.mechanisms.retransmission)
         announceDeparture(told);
     if (visible && next.announcement && hooks.onChange)
         hooks.onChange(entry.view());
@@ -154,7 +155,8 @@
 
 void membership::state::disseminate(const member_event &what, bool urgent)
 {
-    if (quiet && what.process != self.process)
+    const bool own = what.process == self.process;
+    if (!own && (quiet || !settings.mechanisms.retransmission))
         return;
     queue.add(what);
     if (urgent && settings.mechanisms.retransmission)
@@ -201,7 +203,8 @@
             continue;
         }
         ++notice.attempts;
-        notice.nextAt = now() + settings.noticeInterval;
+        const bool slow = notice.attempts > settings.fastNotices;
+        notice.nextAt = now() + (slow ? settings.period : settings.noticeInterval);
         membership_message message;
         message.kind = membership_kind::Notice;
         message.sequence = it->first;
--- a/src/membership/sending.cpp
+++ b/src/membership/sending.cpp
@@ -26,6 +26,11 @@
         what.announce = true;
         what.events.push_back(self);
     }
+    // Whoever hears from a leaving process learns that it leaves, also after all repetitions.
+    if (self.leaving && what.events.empty() && settings.mechanisms.retransmission) {
+        what.events.push_back(self);
+        what.events.back().announcement = nullptr;
+    }
     const std::size_t used = encodedBytes(what);
     if (used < MaxMembershipMessageBytes && what.kind != membership_kind::ViewDigest
         && what.kind != membership_kind::BucketData)
@@ -57,18 +62,25 @@
     return choose(table.all(), except);
 }
 
-// One relay from the target's zone, one from the own zone and the rest from any zone, so that a
-// broken link between two zones does not silence all of them.
+// The path over a relay must not use the link that may be broken. For a target in another zone, the
+// first relay is therefore in a third zone; for one in the own zone, in any other zone.
 std::vector<member_entry *> membership::state::chooseRelays(const member_entry &about)
 {
     std::vector<member_entry *> relays;
     const process_id &target = about.now.process;
+    const zone_id &targetZone = about.now.announcement->self.zone;
+    const zone_id &ownZone = self.announcement->self.zone;
     const auto use = [&](member_entry *relay) {
         if (relay != nullptr && std::find(relays.begin(), relays.end(), relay) == relays.end())
             relays.push_back(relay);
     };
-    use(choose(table.inZone(about.now.announcement->self.zone), target));
-    use(choose(table.inZone(self.announcement->self.zone), target));
+    for (int draw = 0; draw < MaxDraws && relays.empty(); ++draw) {
+        member_entry *candidate = chooseAny(target);
+        if (candidate != nullptr && candidate->now.announcement->self.zone != targetZone
+            && candidate->now.announcement->self.zone != ownZone)
+            use(candidate);
+    }
+    use(choose(table.inZone(targetZone), target));
     for (int draw = 0; draw < MaxDraws && relays.size() < settings.indirectProbes; ++draw)
         use(chooseAny(target));
     return relays;
