--- a/include/hyssoppond/membership/membership_base.h
+++ b/include/hyssoppond/membership/membership_base.h
@@ -35,13 +35,19 @@
     std::uint32_t indirectProbes = 3;
     std::uint32_t suspicionPeriods = 4;    ///< multiplied by log10 of the number of members
     std::uint32_t remoteProbePercent = 20; ///< share of probes to other zones
-    std::uint32_t retransmitFactor = 3;    ///< multiplied by log2 of the number of members
+    std::uint32_t retransmitFactor = 1;    ///< multiplied by log2 of the number of members
     std::uint32_t forwardFanout = 3; ///< members to which an urgent event is forwarded at once
     absl::Duration forwardInterval = absl::Milliseconds(100); ///< at most one forwarding in it
-    absl::Duration noticeInterval = absl::Milliseconds(300);  ///< between repetitions of a notice
+    // With 3 packets of 1,050 bytes each, a sustained forwarding takes at most 1.6 KB/s of the
+    // 2 KB/s for each node; a burst of ten passes on a departure at once.
+    absl::Duration forwardSustained = absl::Seconds(2);      ///< between forwardings after a burst
+    absl::Duration forwardBurst = absl::Seconds(20);         ///< that may be used in advance
+    std::size_t maxPiggybackBytes = 400;                     ///< of events on a probe or its answer
+    absl::Duration noticeInterval = absl::Milliseconds(300); ///< between repetitions of a notice
     std::uint32_t fastNotices = 6;     ///< then one repetition for each period
     std::uint32_t noticeAttempts = 60; ///< outlasts a loss of contact of most of a minute
     absl::Duration viewInterval = absl::Seconds(10);       ///< between exchanges of view digests
+    absl::Duration catchUpInterval = absl::Seconds(1);     ///< while views differ widely
     absl::Duration joinInterval = absl::Milliseconds(200); ///< between requests while joining
     std::uint32_t bucketPackets = 4; ///< packets sent for one bucket request, at least one bucket
     absl::Duration deadRetryInterval = absl::Seconds(10);
--- a/src/membership/events.cpp
+++ b/src/membership/events.cpp
@@ -160,7 +160,9 @@
         return;
     queue.add(what);
     if (urgent && settings.mechanisms.retransmission)
-        forwardAt = std::min(forwardAt, std::max(now(), lastForward + settings.forwardInterval));
+        forwardAt = std::min(forwardAt,
+                             std::max({now(), lastForward + settings.forwardInterval,
+                                       forwardCredit - settings.forwardBurst}));
 }
 
 // Sends the newest events to random members, among them an entry.
@@ -168,6 +170,7 @@
 {
     forwardAt = absl::InfiniteFuture();
     lastForward = now();
+    forwardCredit = std::max(forwardCredit, now()) + settings.forwardSustained;
     membership_message gossip;
     gossip.kind = membership_kind::Gossip;
     if (const member_entry *entry = choose(table.entriesOfSite()))
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -70,6 +70,7 @@
     absl::Time nextDeadRetry;
     absl::Time forwardAt = absl::InfiniteFuture();
     absl::Time lastForward = absl::InfinitePast();
+    absl::Time forwardCredit = absl::InfinitePast(); ///< time up to which forwardings are used up
     absl::Time nextJoin = absl::InfiniteFuture();
     std::uint16_t joinBucket = 0;   ///< buckets below it are known
     std::uint32_t joinSequence = 0; ///< of the request that is waiting for its answer
--- a/src/membership/sending.cpp
+++ b/src/membership/sending.cpp
@@ -32,9 +32,12 @@
         what.events.back().announcement = nullptr;
     }
     const std::size_t used = encodedBytes(what);
-    if (used < MaxMembershipMessageBytes && what.kind != membership_kind::ViewDigest
+    const std::size_t limit = what.kind == membership_kind::Gossip
+        ? MaxMembershipMessageBytes
+        : std::min(MaxMembershipMessageBytes, used + settings.maxPiggybackBytes);
+    if (used < limit && what.kind != membership_kind::ViewDigest
         && what.kind != membership_kind::BucketData)
-        queue.take(MaxMembershipMessageBytes - used, retransmitLimit(), what.events);
+        queue.take(limit - used, retransmitLimit(), what.events);
     hooks.send(to, what);
 }
 
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -1,6 +1,7 @@
 /// @file Exchange of views: digests between random members, and the whole view for new members.
 #include "membership_state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace hyssoppond {
@@ -52,6 +53,9 @@
     }
     if (differing.empty())
         return;
+    // Views that differ widely, as after a partition, are exchanged again soon.
+    if (differing.size() == MaxRequestedBuckets)
+        nextView = std::min(nextView, now() + settings.catchUpInterval);
     membership_message request;
     request.kind = membership_kind::BucketRequest;
     request.digests = differing;
