Read the whole view again shortly after the start if views differ widely

Cause: when all of 1,000 members start at once, a new member reads the view of another new one, and 30 s later members knew 69% of the view.

--- a/include/hyssoppond/membership/membership_base.h
+++ b/include/hyssoppond/membership/membership_base.h
@@ -46,8 +46,10 @@
     absl::Duration noticeInterval = absl::Milliseconds(300); ///< between repetitions of a notice
     std::uint32_t fastNotices = 6;     ///< then one repetition for each period
     std::uint32_t noticeAttempts = 60; ///< outlasts a loss of contact of most of a minute
-    absl::Duration viewInterval = absl::Seconds(10);       ///< between exchanges of view digests
-    absl::Duration catchUpInterval = absl::Seconds(1);     ///< while views differ widely
+    absl::Duration viewInterval = absl::Seconds(10);   ///< between exchanges of view digests
+    absl::Duration catchUpInterval = absl::Seconds(1); ///< while views differ widely
+    absl::Duration rescanSpan
+        = absl::Seconds(30); ///< from the start, in which the view may be read again
     absl::Duration joinInterval = absl::Milliseconds(200); ///< between requests while joining
     std::uint32_t bucketPackets = 4; ///< packets sent for one bucket request, at least one bucket
     absl::Duration deadRetryInterval = absl::Seconds(10);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -208,6 +208,7 @@
     addSeeds(seeds);
     s.started = true;
     s.lastTick = s.nextJoin = s.now();
+    s.rescanUntil = s.now() + s.settings.rescanSpan;
     s.nextPeriod = s.now() + s.settings.period * (static_cast<double>(s.below(1000)) / 1000);
     s.nextView = s.now() + s.settings.viewInterval * 0.5;
     s.nextDeadRetry = s.now() + s.settings.deadRetryInterval;
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -72,7 +72,8 @@
     absl::Time lastForward = absl::InfinitePast();
     absl::Time forwardCredit = absl::InfinitePast(); ///< time up to which forwardings are used up
     absl::Time nextJoin = absl::InfiniteFuture();
-    std::uint16_t joinBucket = 0;   ///< buckets below it are known
+    absl::Time rescanUntil = absl::InfinitePast(); ///< the whole view may be asked for again
+    std::uint16_t joinBucket = 0;                  ///< buckets below it are known
     std::uint32_t joinSequence = 0; ///< of the request that is waiting for its answer
 
     // membership.cpp: start, time and dispatch.
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -53,9 +53,15 @@
     }
     if (differing.empty())
         return;
-    // Views that differ widely, as after a partition, are exchanged again soon.
-    if (differing.size() == MaxRequestedBuckets)
+    // Views that differ widely, as after a partition, are exchanged again soon. Shortly after the
+    // start, the member that was asked for the whole view may itself have been new: ask again.
+    if (differing.size() == MaxRequestedBuckets) {
         nextView = std::min(nextView, now() + settings.catchUpInterval);
+        if (now() < rescanUntil && nextJoin == absl::InfiniteFuture()) {
+            joinBucket = 0;
+            nextJoin = now();
+        }
+    }
     membership_message request;
     request.kind = membership_kind::BucketRequest;
     request.digests = differing;
