Make functions const that clang-tidy names

Cause: lint reported choose() and sendDatagram() as possibly const. Change: these functions and their callers are const. Conclusion: no change of behaviour.

--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -124,10 +124,10 @@
     // sending.cpp: packets and choice of receivers.
     void send(const peer &to, membership_message what, const process_id &about = {});
     void sendAck(const peer &to, std::uint32_t sequence, const peer &target = {});
-    member_entry *choose(const member_table::entries &from, const process_id &except = {});
-    member_entry *chooseAny(const process_id &except = {});
-    std::vector<member_entry *> chooseRelays(const member_entry &about);
-    std::optional<peer> chooseContact();
+    member_entry *choose(const member_table::entries &from, const process_id &except = {}) const;
+    member_entry *chooseAny(const process_id &except = {}) const;
+    std::vector<member_entry *> chooseRelays(const member_entry &about) const;
+    std::optional<peer> chooseContact() const;
 };
 
 } // namespace hyssoppond
--- a/src/membership/sending.cpp
+++ b/src/membership/sending.cpp
@@ -50,7 +50,8 @@
     send(to, std::move(ack));
 }
 
-member_entry *membership::state::choose(const member_table::entries &from, const process_id &except)
+member_entry *membership::state::choose(const member_table::entries &from,
+                                        const process_id &except) const
 {
     for (int draw = 0; draw < MaxDraws && !from.empty(); ++draw) {
         member_entry *candidate = from[below(from.size())];
@@ -60,14 +61,14 @@
     return nullptr;
 }
 
-member_entry *membership::state::chooseAny(const process_id &except)
+member_entry *membership::state::chooseAny(const process_id &except) const
 {
     return choose(table.all(), except);
 }
 
 // The path over a relay must not use the link that may be broken. For a target in another zone, the
 // first relay is therefore in a third zone; for one in the own zone, in any other zone.
-std::vector<member_entry *> membership::state::chooseRelays(const member_entry &about)
+std::vector<member_entry *> membership::state::chooseRelays(const member_entry &about) const
 {
     std::vector<member_entry *> relays;
     const process_id &target = about.now.process;
@@ -90,7 +91,7 @@
 }
 
 // A random member, or a seed if no member is known.
-std::optional<peer> membership::state::chooseContact()
+std::optional<peer> membership::state::chooseContact() const
 {
     if (const member_entry *known = chooseAny())
         return known->asPeer();
--- a/src/transport/transport.cpp
+++ b/src/transport/transport.cpp
@@ -63,7 +63,7 @@
     wake();
 }
 
-void transport::state::sendDatagram(const address &to, const std::string &encoded)
+void transport::state::sendDatagram(const address &to, const std::string &encoded) const
 {
     const auto target = toSocketAddress(to);
     if (!target
--- a/src/transport/transport_state.h
+++ b/src/transport/transport_state.h
@@ -49,7 +49,7 @@
     // transport.cpp: called by any thread.
     result<void> open();
     void send(const address &to, frame what);
-    void sendDatagram(const address &to, const std::string &encoded);
+    void sendDatagram(const address &to, const std::string &encoded) const;
     void countSent(const address &to, channel via, std::size_t bytes);
     void drop(reason why, std::size_t frames = 1) const;
     void wake() const;
