--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -70,8 +70,10 @@
     absl::Time nextDeadRetry;
     absl::Time forwardAt = absl::InfiniteFuture();
     absl::Time lastForward = absl::InfinitePast();
+    absl::Time forwardCredit = absl::InfinitePast(); ///< time up to which forwardings are used up
     absl::Time nextJoin = absl::InfiniteFuture();
-    std::uint16_t joinBucket = 0;   ///< buckets below it are known
+    absl::Time rescanUntil = absl::InfinitePast(); ///< the whole view may be asked for again
+    std::uint16_t joinBucket = 0;                  ///< buckets below it are known
     std::uint32_t joinSequence = 0; ///< of the request that is waiting for its answer
 
     // membership.cpp: start, time and dispatch.
@@ -122,10 +124,10 @@
     // sending.cpp: packets and choice of receivers.
     void send(const peer &to, membership_message what, const process_id &about = {});
     void sendAck(const peer &to, std::uint32_t sequence, const peer &target = {});
-    member_entry *choose(const member_table::entries &from, const process_id &except = {});
-    member_entry *chooseAny(const process_id &except = {});
-    std::vector<member_entry *> chooseRelays(const member_entry &about);
-    std::optional<peer> chooseContact();
+    member_entry *choose(const member_table::entries &from, const process_id &except = {}) const;
+    member_entry *chooseAny(const process_id &except = {}) const;
+    std::vector<member_entry *> chooseRelays(const member_entry &about) const;
+    std::optional<peer> chooseContact() const;
 };
 
 } // namespace hyssoppond
--- a/src/membership/sending.cpp
+++ b/src/membership/sending.cpp
@@ -26,10 +26,18 @@
         what.announce = true;
         what.events.push_back(self);
     }
+    // Whoever hears from a leaving process learns that it leaves, also after all repetitions.
+    if (self.leaving && what.events.empty() && settings.mechanisms.retransmission) {
+        what.events.push_back(self);
+        what.events.back().announcement = nullptr;
+    }
     const std::size_t used = encodedBytes(what);
-    if (used < MaxMembershipMessageBytes && what.kind != membership_kind::ViewDigest
+    const std::size_t limit = what.kind == membership_kind::Gossip
+        ? MaxMembershipMessageBytes
+        : std::min(MaxMembershipMessageBytes, used + settings.maxPiggybackBytes);
+    if (used < limit && what.kind != membership_kind::ViewDigest
         && what.kind != membership_kind::BucketData)
-        queue.take(MaxMembershipMessageBytes - used, retransmitLimit(), what.events);
+        queue.take(limit - used, retransmitLimit(), what.events);
     hooks.send(to, what);
 }
 
@@ -42,7 +50,8 @@
     send(to, std::move(ack));
 }
 
-member_entry *membership::state::choose(const member_table::entries &from, const process_id &except)
+member_entry *membership::state::choose(const member_table::entries &from,
+                                        const process_id &except) const
 {
     for (int draw = 0; draw < MaxDraws && !from.empty(); ++draw) {
         member_entry *candidate = from[below(from.size())];
@@ -52,30 +61,37 @@
     return nullptr;
 }
 
-member_entry *membership::state::chooseAny(const process_id &except)
+member_entry *membership::state::chooseAny(const process_id &except) const
 {
     return choose(table.all(), except);
 }
 
-// One relay from the target's zone, one from the own zone and the rest from any zone, so that a
-// broken link between two zones does not silence all of them.
-std::vector<member_entry *> membership::state::chooseRelays(const member_entry &about)
+// The path over a relay must not use the link that may be broken. For a target in another zone, the
+// first relay is therefore in a third zone; for one in the own zone, in any other zone.
+std::vector<member_entry *> membership::state::chooseRelays(const member_entry &about) const
 {
     std::vector<member_entry *> relays;
     const process_id &target = about.now.process;
+    const zone_id &targetZone = about.now.announcement->self.zone;
+    const zone_id &ownZone = self.announcement->self.zone;
     const auto use = [&](member_entry *relay) {
         if (relay != nullptr && std::find(relays.begin(), relays.end(), relay) == relays.end())
             relays.push_back(relay);
     };
-    use(choose(table.inZone(about.now.announcement->self.zone), target));
-    use(choose(table.inZone(self.announcement->self.zone), target));
+    for (int draw = 0; draw < MaxDraws && relays.empty(); ++draw) {
+        member_entry *candidate = chooseAny(target);
+        if (candidate != nullptr && candidate->now.announcement->self.zone != targetZone
+            && candidate->now.announcement->self.zone != ownZone)
+            use(candidate);
+    }
+    use(choose(table.inZone(targetZone), target));
     for (int draw = 0; draw < MaxDraws && relays.size() < settings.indirectProbes; ++draw)
         use(chooseAny(target));
     return relays;
 }
 
 // A random member, or a seed if no member is known.
-std::optional<peer> membership::state::chooseContact()
+std::optional<peer> membership::state::chooseContact() const
 {
     if (const member_entry *known = chooseAny())
         return known->asPeer();
