--- a/faults/call_site_base.h
+++ b/faults/call_site_base.h
@@ -23,6 +23,7 @@
     absl::Time at;
     std::vector<result<std::string>> answers; ///< more than one is a fault
     absl::Time answeredAt;
+    std::size_t entry = 0; ///< index of the entry that got it
 };
 
 /// Faults of the journal of bindings.
@@ -94,7 +95,7 @@
     std::size_t submit(std::size_t entry, call_submission what)
     {
         const std::size_t index = submissions.size();
-        submissions.push_back({what, clock.now(), {}, absl::InfiniteFuture()});
+        submissions.push_back({what, clock.now(), {}, absl::InfiniteFuture(), entry});
         if (entries[entry].router) {
             entries[entry].router->submit(std::move(what), [this, index](result<std::string> got) {
                 submissions[index].answers.push_back(std::move(got));
@@ -134,6 +135,7 @@
     {
         killAgent(index);
         ++agents[index].where.incarnation;
+        agents[index].announcedAt.reset();
         startExecutor(index);
     }
     void removeEverywhere(std::size_t index)
--- a/include/hyssoppond/routing/call_executor_base.h
+++ b/include/hyssoppond/routing/call_executor_base.h
@@ -25,9 +25,10 @@
     std::uint32_t maxWaiting = 4;   ///< a short queue keeps slots busy during a round trip
     std::size_t maxRecords = 20000;
     std::size_t maxOutcomeBytes = std::size_t {64} << 20;
-    absl::Duration retention = absl::Seconds(60);        ///< of a record after the call's deadline
-    absl::Duration maxCallDuration = absl::Minutes(30);  ///< refuses later deadlines
-    absl::Duration runnerGrace = absl::Seconds(2);       ///< after the deadline of a running call
+    absl::Duration retention = absl::Seconds(60);       ///< of a record after the call's deadline
+    absl::Duration maxCallDuration = absl::Minutes(30); ///< refuses later deadlines
+    absl::Duration runnerGrace = absl::Seconds(2);      ///< after the deadline of a running call
+    absl::Duration leavingGrace = absl::Seconds(2);     ///< waiting calls may start after departure
     absl::Duration retryDelay = absl::Milliseconds(100); ///< told with refusals
 };
 
@@ -38,7 +39,8 @@
     bool incarnationCheck = true;
     bool leavingCheck = true;
     bool deadlineCheck = true;
-    bool fences = true; ///< includes the memory of refused attempts
+    bool fences = true;        ///< includes the memory of refused attempts
+    bool finishRunning = true; ///< off: a departure drops the running calls
 };
 
 /// Effects of a call_executor.
@@ -63,7 +65,8 @@
     void tick();
     absl::Time nextDeadline() const;
 
-    /// Refuses new and waiting calls while set; running calls are finished.
+    /// Refuses new calls while set. Running calls are finished; waiting ones may start within
+    /// `leavingGrace`, because they were admitted before.
     void setLeaving(bool leaving);
     /// Whether no call is running or waiting.
     bool isIdle() const;
@@ -95,6 +98,8 @@
     result<ledger_key> keyOf(const call_attempt &attempt, bool repeatable, const std::string &token,
                              absl::Time *deadline) const;
     void expireRunning();
+    void dropRunning();
+    void refuseWaiting();
 
     executor_settings m_settings;
     environment m_env;
@@ -102,6 +107,7 @@
     executor_mechanisms m_mechanisms;
     std::uint64_t m_secret; ///< keys the tokens of this incarnation
     bool m_leaving = false;
+    absl::Time m_leavingAt = absl::InfiniteFuture();
     std::uint32_t m_busy = 0;
     std::uint64_t m_runs = 0;
     std::unique_ptr<call_ledger> m_ledger;
--- a/include/hyssoppond/routing/call_router_base.h
+++ b/include/hyssoppond/routing/call_router_base.h
@@ -49,11 +49,12 @@
     absl::Duration askInterval = absl::Milliseconds(250);
     std::uint32_t unansweredQueries = 2;           ///< after which an attempt counts as lost
     absl::Duration fenceMargin = absl::Seconds(1); ///< before the deadline; also at most a third
-    double retriesPerRequest = 0.1;
-    double maxSavedRetries = 100;
+    retry_settings retries;
     std::uint32_t maxFailures = 3; ///< attempts that the runner fails before the caller is told
     absl::Duration firstBackoff = absl::Milliseconds(20);
     absl::Duration longestBackoff = absl::Seconds(1);
+    /// Backoffs without a saved retry after which a call that certainly did not run is refused.
+    std::uint32_t maxDryBackoffs = 4;
     absl::Duration refusalDelay = absl::Milliseconds(500); ///< retry time told with refusals
 };
 
@@ -141,7 +142,7 @@
     { }
     pending_call *match(const process_id &from, const call_attempt &attempt,
                         incarnation_number agentIncarnation);
-    bool isIntact(const call_response &what);
+    bool isIntact(const call_response &what) const;
     void onRunnerFailure(pending_call &call, const call_response &what);
     void onRefusalOfBound(pending_call &call, const call_refused &what);
     // Time.
@@ -151,6 +152,7 @@
     absl::Time fenceAt(const pending_call &call) const;
     void schedule(pending_call &call, absl::Time when);
     void retryLater(pending_call &call, reason why);
+    void onBackoffEnd(pending_call &call);
     // Ends.
     void loseAgent(const process_id &agent);
     void releaseSlot(pending_call &call, attempt_sample::outcome what, bool waited = false);
--- a/include/hyssoppond/routing/route_table_base.h
+++ b/include/hyssoppond/routing/route_table_base.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace hyssoppond {
 
@@ -39,7 +40,7 @@
 {
 public:
     route_table(route_settings settings, environment env)
-        : m_settings(settings)
+        : m_settings(std::move(settings))
         , m_env(std::move(env))
     { }
 
@@ -85,7 +86,7 @@
     bool isUsable(const route &one) const;
     bool hasRoom(const route &one) const;
     static double cost(const route &one);
-    void adapt(route &one, const attempt_sample &sample);
+    void adapt(route &one, const attempt_sample &sample) const;
     void judge(route &one, const attempt_sample &sample);
     void eject(route &one);
     bool isSlow(const route &one) const;
--- a/src/routing/call_executor_run.cpp
+++ b/src/routing/call_executor_run.cpp
@@ -44,6 +44,9 @@
 void call_executor::startWaiting()
 {
     while (m_busy < m_settings.slots && !m_calls->waiting.empty()) {
+        refuseWaiting(); // nothing starts past its deadline or the grace of a departure
+        if (m_calls->waiting.empty())
+            return;
         const admitted_call call = std::move(m_calls->waiting.front());
         m_calls->waiting.pop_front();
         start(call);
@@ -97,15 +100,39 @@
 
 void call_executor::setLeaving(bool leaving)
 {
+    if (leaving && !m_leaving)
+        m_leavingAt = m_env.now();
     m_leaving = leaving;
-    if (!leaving || !m_mechanisms.leavingCheck)
-        return;
-    while (!m_calls->waiting.empty()) {
-        const ledger_key key = m_calls->waiting.front().key;
-        abandon(key, *m_ledger->find(key), reason::Leaving);
+    if (leaving && !m_mechanisms.finishRunning)
+        dropRunning();
+}
+
+void call_executor::dropRunning()
+{
+    const auto running = m_calls->running;
+    for (const auto &[key, call] : running) {
+        finish(
+            key, call.run,
+            fail(reason::Leaving, "the agent stopped before the call ended", execution::Unknown));
     }
 }
 
+void call_executor::refuseWaiting()
+{
+    const absl::Time now = m_env.now();
+    const bool left
+        = m_leaving && m_mechanisms.leavingCheck && now >= m_leavingAt + m_settings.leavingGrace;
+    std::vector<std::pair<ledger_key, reason>> refused;
+    for (const admitted_call &call : m_calls->waiting) {
+        if (call.call.deadline <= now && m_mechanisms.deadlineCheck)
+            refused.emplace_back(call.key, reason::Expired);
+        else if (left)
+            refused.emplace_back(call.key, reason::Leaving);
+    }
+    for (const auto &[key, why] : refused)
+        abandon(key, *m_ledger->find(key), why);
+}
+
 void call_executor::expireRunning()
 {
     const absl::Time now = m_env.now();
@@ -125,16 +152,9 @@
 void call_executor::tick()
 {
     expireRunning();
-    const absl::Time now = m_env.now();
-    std::vector<ledger_key> late;
-    for (const admitted_call &call : m_calls->waiting) {
-        if (call.call.deadline <= now && m_mechanisms.deadlineCheck)
-            late.push_back(call.key);
-    }
-    for (const ledger_key &key : late)
-        abandon(key, *m_ledger->find(key), reason::Expired);
+    refuseWaiting();
     startWaiting();
-    m_ledger->expire(now);
+    m_ledger->expire(m_env.now());
 }
 
 absl::Time call_executor::nextDeadline() const
@@ -144,6 +164,8 @@
         next = std::min(next, call.giveUpAt);
     for (const admitted_call &call : m_calls->waiting)
         next = std::min(next, call.call.deadline);
+    if (m_leaving && !m_calls->waiting.empty())
+        next = std::min(next, m_leavingAt + m_settings.leavingGrace);
     return next;
 }
 
--- a/src/routing/call_router.cpp
+++ b/src/routing/call_router.cpp
@@ -15,7 +15,7 @@
     , m_mechanisms(mechanisms)
     , m_routes(m_settings.routes, m_env)
     , m_queue(m_settings.queues)
-    , m_budget(m_settings.retriesPerRequest, m_settings.maxSavedRetries)
+    , m_budget(m_settings.retries)
     , m_alive(std::make_shared<bool>(true))
 {
     if (!m_hooks.count)
--- a/src/routing/call_router_receive.cpp
+++ b/src/routing/call_router_receive.cpp
@@ -39,7 +39,7 @@
     return call;
 }
 
-bool call_router::isIntact(const call_response &what)
+bool call_router::isIntact(const call_response &what) const
 {
     if (!m_mechanisms.verifyAnswers)
         return true;
@@ -149,7 +149,7 @@
                     refusalRetry());
     case call_state::Unknown:
         // The request was lost. Sending it again is safe, because the agent admits an attempt once.
-        if (m_budget.take()) {
+        if (m_budget.take(m_env.now())) {
             m_hooks.count(event::Retried, reason::ConnectionSilent);
             call->askAt = m_env.now() + m_settings.askAfter;
             sendRequest(*call);
--- a/src/routing/call_router_state_type.h
+++ b/src/routing/call_router_state_type.h
@@ -37,8 +37,9 @@
     absl::Time askAt;                    ///< next query about the present attempt
     std::uint32_t unanswered = 0;        ///< queries since the agent last answered
     std::uint32_t backoffs = 0;
-    std::uint32_t failures = 0; ///< attempts that the runner failed
-    absl::Time retryAt;         ///< end of the backoff
+    std::uint32_t dryBackoffs = 0; ///< that ended without a saved retry
+    std::uint32_t failures = 0;    ///< attempts that the runner failed
+    absl::Time retryAt;            ///< end of the backoff
     reason lastReason = reason::None;
     absl::Time timer = absl::InfiniteFuture();
 
--- a/src/routing/call_router_timer.cpp
+++ b/src/routing/call_router_timer.cpp
@@ -73,15 +73,25 @@
     case pending_call::phase::Sent:
         return onSentTimer(call);
     case pending_call::phase::Backoff:
-        if (m_env.now() < call.retryAt)
-            return schedule(call, std::min(call.retryAt, call.what.deadline));
-        if (!m_budget.take()) {
-            m_hooks.count(event::Refused, reason::RetryBudgetExhausted);
-            return retryLater(call, call.lastReason);
-        }
+        return onBackoffEnd(call);
+    }
+}
+
+void call_router::onBackoffEnd(pending_call &call)
+{
+    if (m_env.now() < call.retryAt)
+        return schedule(call, std::min(call.retryAt, call.what.deadline));
+    // A draining entry accepts no new calls, so that its retries are bounded without the budget.
+    if (m_draining || m_budget.take(m_env.now())) {
         m_hooks.count(event::Retried, call.lastReason);
         return enqueue(call);
     }
+    ++call.dryBackoffs;
+    if (call.dryBackoffs >= m_settings.maxDryBackoffs && stateOf(call) == execution::NotRun) {
+        return fail(call, reason::RetryBudgetExhausted, "the endpoints are overloaded; retry later",
+                    refusalRetry());
+    }
+    retryLater(call, call.lastReason);
 }
 
 void call_router::retryLater(pending_call &call, reason why)
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -7,8 +7,11 @@
 namespace hyssoppond {
 namespace {
 
-constexpr double Gain = 0.1;          // weight of the newest sample in the moving means
-constexpr double FirstLimit = 2;      // attempts in flight before anything is known
+constexpr double Gain = 0.1;     // weight of the newest sample in the moving means
+constexpr double FirstLimit = 2; // attempts in flight before anything is known
+// Growth of the limit per round of attempts that use it fully. A growth of 1 made small limits
+// swing between too low and refused.
+constexpr double Growth = 0.25;
 constexpr double LimitCut = 0.7;      // factor on the limit after a sign of overload
 constexpr double FailurePenalty = 20; // steers attempts away from failing endpoints not ejected
 
@@ -54,7 +57,7 @@
 
 bool route_table::hasRoom(const route &one) const
 {
-    return isUsable(one) && one.inFlight < (one.probation ? 1 : one.limit)
+    return isUsable(one) && one.inFlight + 1 <= (one.probation ? 1 : one.limit)
         && one.inFlight < one.where.servedRunner.connections;
 }
 
@@ -89,7 +92,7 @@
             continue;
         }
         all.push_back(&one);
-        const bool busy = one.inFlight >= m_settings.zoneLimit * one.limit;
+        const bool busy = one.inFlight + 1 > std::max(1.0, m_settings.zoneLimit * one.limit);
         if (one.where.zone == m_settings.zone && !busy && one.failures < 0.5)
             own.push_back(&one);
     }
@@ -120,7 +123,7 @@
     judge(one, sample);
 }
 
-void route_table::adapt(route &one, const attempt_sample &sample)
+void route_table::adapt(route &one, const attempt_sample &sample) const
 {
     const absl::Time now = m_env.now();
     const bool overload = sample.what == attempt_sample::outcome::Refused || sample.waited;
@@ -130,8 +133,8 @@
             return;
         one.limitCutAt = now;
         one.limit = std::max(1.0, one.limit * LimitCut);
-    } else if (sample.what == attempt_sample::outcome::Succeeded && one.inFlight + 1 >= one.limit) {
-        one.limit = std::min<double>(one.where.servedRunner.slots, one.limit + 1 / one.limit);
+    } else if (sample.what == attempt_sample::outcome::Succeeded && one.inFlight + 1 > one.limit) {
+        one.limit = std::min<double>(one.where.servedRunner.slots, one.limit + Growth / one.limit);
     }
 }
 
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 using faults::call_site;
-using faults::site_options;
 
 call_submission callOf(const call_site &site, const std::string &request, bool repeatable)
 {
