--- a/faults/call_drain_cells.cpp
+++ b/faults/call_drain_cells.cpp
@@ -91,8 +91,7 @@
 {
     constexpr std::uint64_t Runs = 4;
     for (std::uint64_t i = 0; i < Runs; ++i) {
-        const cell_result found
-            = runOnce({context.seed * Runs + i, context.mechanismOff}, step, entry);
+        cell_result found = runOnce({context.seed * Runs + i, context.mechanismOff}, step, entry);
         if (!found.passed)
             return found;
     }
