--- a/include/hyssoppond/policy/decision_type.h
+++ b/include/hyssoppond/policy/decision_type.h
@@ -79,11 +79,11 @@
     bool compaction = true;     ///< move borrowed work for a starved gang
     bool guard = true;          ///< stop giving work to workers that fail starts
     absl::Duration checkpointTime = absl::Seconds(5); ///< 7.5 s to start, less 2 s to stop
-    absl::Duration starvedAfter = absl::Minutes(30);
+    absl::Duration starvedAfter = absl::Minutes(5);
     absl::Duration guardDelay = absl::Minutes(1); ///< first delay before probation, doubles
     std::uint32_t guardFailures = 3;
     double runTimeWeight = 4.0; ///< seconds of later submission that a second of run time costs
-    double maxHeldShare = 0.3;  ///< part of the fleet that may be kept for starved gangs
+    double maxHeldShare = 0.6;  ///< part of the fleet that may be kept for starved gangs
     std::uint32_t maxDecisions = 64;
 };
 
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -1,6 +1,8 @@
 /// @file Workers with their free accelerators, claims, holds and conditions.
 #include "hyssoppond/policy/fleet_base.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <bit>
 
@@ -37,7 +39,7 @@
     const auto index = static_cast<worker_index>(m_workers.size());
     m_numbers[machine.id] = index;
     // Rack names are unique only within their zone.
-    const std::string rackName = machine.zone.str() + "/" + machine.rack.str();
+    const std::string rackName = absl::StrCat(machine.zone.str(), "/", machine.rack.str());
     const auto rack
         = m_racks.try_emplace(rackName, static_cast<std::uint32_t>(m_racks.size())).first->second;
     const auto zone
