--- a/include/hyssoppond/policy/guarantee_book_base.h
+++ b/include/hyssoppond/policy/guarantee_book_base.h
@@ -91,6 +91,7 @@
     void unreserve(unit_index which);
     void occupy(const gang_location &at, bool add);
     bool pack(unit_index which);
+    void endUnit(unit_index which);
     std::vector<unit_index> evictFrom(const gang_location &at,
                                       std::vector<std::pair<unit_index, gang_location>> &before);
     bool packAll(std::vector<unit_index> units);
--- a/include/hyssoppond/policy/job_queue_base.h
+++ b/include/hyssoppond/policy/job_queue_base.h
@@ -44,9 +44,10 @@
     job_entry *best(const shape_test &fits) const;
     /// Job with the lowest key whose shape fails the test; null if none.
     job_entry *oldestBlocked(const shape_test &fits) const;
-    /// Urgent jobs by team, in the order of their keys.
-    using rank = std::pair<double, std::uint64_t>;
-    const std::map<std::uint32_t, std::map<rank, job_entry *>> &urgent() const { return m_urgent; }
+    using rank = std::pair<double, std::uint64_t>; ///< key, sequence
+    using lanes_by_shape = std::map<shape, std::map<rank, job_entry *>>;
+    /// Urgent jobs by team and shape, in the order of their keys.
+    const std::map<std::uint32_t, lanes_by_shape> &urgent() const { return m_urgent; }
 
     std::uint64_t steps() const { return m_steps; }
 
@@ -62,7 +63,7 @@
         double weight = 1;
         std::int64_t use = 0;
         std::size_t queued = 0;
-        std::map<shape, std::map<rank, job_entry *>> lanes;
+        lanes_by_shape lanes;
     };
 
     double shareOf(const team_entry &team) const;
@@ -76,7 +77,7 @@
     std::map<shape, lane> m_lanes;
     std::vector<team_entry> m_teams;
     absl::flat_hash_map<std::string, std::uint32_t> m_numbers;
-    std::map<std::uint32_t, std::map<rank, job_entry *>> m_urgent;
+    std::map<std::uint32_t, lanes_by_shape> m_urgent;
     mutable std::uint64_t m_steps = 0;
 };
 
--- a/include/hyssoppond/policy/scheduler_base.h
+++ b/include/hyssoppond/policy/scheduler_base.h
@@ -44,7 +44,8 @@
     result<void> addWorker(const worker &machine, command_mode mode = command_mode::Execute);
     /// UnknownEndpoint for an unknown worker. Gangs on it stay until attemptEnded.
     result<void> removeWorker(const worker_id &id, command_mode mode = command_mode::Execute);
-    /// Changes the condition; Usable also ends a guard and forgets failed starts.
+    /// Changes the condition; Usable also ends a guard and forgets failed starts. Guarded set here
+    /// lasts until it is changed here.
     result<void> setWorkerCondition(const worker_id &id, worker_condition condition,
                                     command_mode mode = command_mode::Execute);
 
@@ -138,6 +139,7 @@
     // Decisions, scheduler_decide.cpp and scheduler_hold.cpp.
     void endGuards(absl::Time now);
     void decideUrgent(absl::Time now, std::vector<decision> &out);
+    std::vector<job_entry *> coveredUrgent(const job_queue::lanes_by_shape &lanes) const;
     bool decideUnderContract(job_entry &job, absl::Time now, std::vector<decision> &out);
     bool placeAtClaim(job_entry &job, std::vector<decision> &out);
     bool placeWithUnit(job_entry &job, unit_index unit, std::vector<decision> &out);
@@ -165,6 +167,7 @@
     std::map<team_id, team> m_teams;
     absl::node_hash_map<job_id, job_entry> m_jobs; // stable addresses
     std::vector<starved_hold> m_holds;
+    std::vector<job_entry *> m_claiming; // queued jobs whose accelerators are being reclaimed
     std::vector<worker_index> m_guarded;
     absl::flat_hash_map<std::pair<team_id, caller_id>, double> m_callerTags;
     std::vector<std::function<void()>> m_undo; // of the proposals of the running `decide`
--- a/src/policy/guarantee_contracts.cpp
+++ b/src/policy/guarantee_contracts.cpp
@@ -23,13 +23,17 @@
 void guarantee_book::setContract(const contract &promise, std::uint32_t zone)
 {
     const auto known = m_contracts.find(promise.id);
-    const bool grows = known != m_contracts.end() && known->second.promised == promise.promised
-        && known->second.team == promise.team && known->second.zone == promise.zone
-        && known->second.count <= promise.count;
-    if (known != m_contracts.end() && !grows)
+    const bool sameShape = known != m_contracts.end() && known->second.promised == promise.promised
+        && known->second.team == promise.team && known->second.zone == promise.zone;
+    if (known != m_contracts.end() && !sameShape)
         removeContract(promise.id);
     m_contracts[promise.id] = promise;
     std::vector<unit_index> &units = m_unitsOf[promise.id];
+    // A smaller count ends unused units first, so that gangs under contract stay under it.
+    std::stable_partition(units.begin(), units.end(),
+                          [this](unit_index which) { return m_units[which].inUse; });
+    for (; units.size() > promise.count; units.pop_back())
+        endUnit(units.back());
     while (units.size() < promise.count) {
         unit_index which = static_cast<unit_index>(m_units.size());
         if (m_freeSlots.empty()) {
@@ -47,22 +51,25 @@
     retryUnpacked();
 }
 
+void guarantee_book::endUnit(unit_index which)
+{
+    unit &ended = m_units[which];
+    ended.removed = true;
+    std::erase(m_unitsOfTeam[ended.team], which);
+    if (ended.inUse)
+        return; // the gang keeps its accelerators until it ends
+    unreserve(which);
+    m_unpacked.erase(which);
+    m_freeSlots.push_back(which);
+}
+
 void guarantee_book::removeContract(const contract_id &id)
 {
     const auto found = m_contracts.find(id);
     if (found == m_contracts.end())
         return;
-    std::vector<unit_index> &ofTeam = m_unitsOfTeam[found->second.team];
-    for (const unit_index which : m_unitsOf[id]) {
-        unit &ended = m_units[which];
-        ended.removed = true;
-        std::erase(ofTeam, which);
-        if (ended.inUse)
-            continue; // the gang keeps its accelerators until it ends
-        unreserve(which);
-        m_unpacked.erase(which);
-        m_freeSlots.push_back(which);
-    }
+    for (const unit_index which : m_unitsOf[id])
+        endUnit(which);
     m_unitsOf.erase(id);
     m_contracts.erase(found);
     retryUnpacked();
--- a/src/policy/job_queue.cpp
+++ b/src/policy/job_queue.cpp
@@ -73,7 +73,7 @@
     m_steps += std::bit_width(where.jobs.size());
     where.jobs[at] = &job;
     if (job.spec.level == urgency::Urgent)
-        m_urgent[job.team][at] = &job;
+        m_urgent[job.team][job.spec.wanted][at] = &job;
     ++team.queued;
     ++m_size;
 }
@@ -97,7 +97,10 @@
         m_lanes.erase(where);
     if (job.spec.level == urgency::Urgent) {
         const auto urgent = m_urgent.find(job.team);
-        urgent->second.erase(at);
+        const auto ofShape = urgent->second.find(wanted);
+        ofShape->second.erase(at);
+        if (ofShape->second.empty())
+            urgent->second.erase(ofShape);
         if (urgent->second.empty())
             m_urgent.erase(urgent);
     }
--- a/src/policy/scheduler_attempt_cmd.cpp
+++ b/src/policy/scheduler_attempt_cmd.cpp
@@ -103,6 +103,7 @@
     for (const worker_share &share : job.claim)
         m_fleet.at(share.worker).claimed -= share.accelerators;
     job.claim.clear();
+    std::erase(m_claiming, &job);
     dropHold(job);
     m_queue.erase(job);
     m_fleet.occupy(job, members, *at);
@@ -123,6 +124,7 @@
         m_fleet.refresh(share.worker);
     }
     job.unit = unit;
+    m_claiming.push_back(&job);
 }
 
 void scheduler::dropClaim(job_entry &job)
@@ -132,6 +134,7 @@
         m_fleet.refresh(share.worker);
     }
     job.claim.clear();
+    std::erase(m_claiming, &job);
     if (job.unit && job.isQueued()) {
         m_book.release(*job.unit);
         job.unit.reset();
--- a/src/policy/scheduler_cmd.cpp
+++ b/src/policy/scheduler_cmd.cpp
@@ -78,6 +78,8 @@
         return {};
     m_fleet.at(*index).failures = 0;
     m_fleet.at(*index).guardDelay = m_options.guardDelay;
+    // A guard that an operator sets ends only by the operator.
+    m_fleet.at(*index).guardedUntil = absl::InfiniteFuture();
     changeCondition(*index, condition);
     return {};
 }
@@ -96,11 +98,10 @@
                 return share.worker == index;
             });
         };
-        for (const auto &[team, jobs] : m_queue.urgent()) {
-            for (const auto &[rank, job] : jobs) {
-                if (touches(job->claim))
-                    dropClaim(*job);
-            }
+        const auto claiming = m_claiming;
+        for (job_entry *job : claiming) {
+            if (touches(job->claim))
+                dropClaim(*job);
         }
         const auto holds = m_holds;
         for (const starved_hold &kept : holds) {
--- a/src/policy/scheduler_decide.cpp
+++ b/src/policy/scheduler_decide.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// Urgent jobs of one team that a decision looks at; more wait for the next one.
-constexpr std::size_t UrgentPerTeam = 16;
+/// Urgent jobs of one team and shape that a decision looks at; more wait for the next one.
+constexpr std::size_t UrgentPerLane = 16;
 
 } // namespace
 
@@ -68,14 +68,33 @@
     m_undo.emplace_back([&victim] { victim.stopping = false; });
 }
 
-void scheduler::decideUrgent(absl::Time now, std::vector<decision> &out)
+std::vector<job_entry *> scheduler::coveredUrgent(const job_queue::lanes_by_shape &lanes) const
 {
-    // Copied, because proposals take jobs out of the queue.
     std::vector<job_entry *> jobs;
-    for (const auto &[team, ofTeam] : m_queue.urgent()) {
+    for (const auto &[wanted, lane] : lanes) {
+        if (!m_book.unusedUnit(lane.begin()->second->spec.team, wanted))
+            continue;
         std::size_t count = 0;
-        for (auto at = ofTeam.begin(); at != ofTeam.end() && count < UrgentPerTeam; ++at, ++count)
+        for (auto at = lane.begin(); at != lane.end() && count < UrgentPerLane; ++at) {
+            if (at->second->unit)
+                continue;
             jobs.push_back(at->second);
+            ++count;
+        }
+    }
+    std::sort(jobs.begin(), jobs.end(), [](const job_entry *a, const job_entry *b) {
+        return std::pair(a->key, a->sequence) < std::pair(b->key, b->sequence);
+    });
+    return jobs;
+}
+
+void scheduler::decideUrgent(absl::Time now, std::vector<decision> &out)
+{
+    // Copied, because proposals take jobs out of the queue.
+    std::vector<job_entry *> jobs = m_claiming;
+    for (const auto &[team, lanes] : m_queue.urgent()) {
+        const auto covered = coveredUrgent(lanes);
+        jobs.insert(jobs.end(), covered.begin(), covered.end());
     }
     for (job_entry *job : jobs) {
         if (out.size() < m_options.maxDecisions)
@@ -109,6 +128,7 @@
         }
         job.claim.clear();
         job.unit.reset();
+        std::erase(m_claiming, &job);
         m_book.undo(*record);
     });
     return reclaim(job, now, out);
