--- a/include/hyssoppond/policy/capacity_index_base.h
+++ b/include/hyssoppond/policy/capacity_index_base.h
@@ -78,6 +78,9 @@
         ranking workers;                  ///< (available, worker)
     };
 
+    void rankRack(zone_node &in, std::uint32_t size, std::uint32_t rack, std::uint32_t before,
+                  std::uint32_t after);
+    void rankWorker(zone_node &in, worker_index worker, std::uint32_t before, std::uint32_t after);
     ranking::const_iterator firstAtLeast(const ranking &from, std::uint32_t amount) const;
     std::optional<std::uint32_t> leftoverIn(const zone_node &zone, const shape &wanted) const;
     gang_location locate(const zone_node &zone, const shape &wanted) const;
@@ -89,6 +92,7 @@
     std::vector<worker_node> m_workers;
     std::vector<rack_node> m_racks;
     std::vector<zone_node> m_zones;
+    zone_node m_all; ///< all zones, so that a search in any zone does not visit each of them
     std::uint64_t m_total = 0;
     mutable std::uint64_t m_steps = 0;
 };
--- a/src/policy/capacity_index.cpp
+++ b/src/policy/capacity_index.cpp
@@ -16,11 +16,30 @@
     m_workers.push_back({rack, zone, 0});
     rack_node &node = m_racks[rack];
     if (node.workers.empty()) {
-        for (std::uint32_t size = 1; size < Sizes; ++size)
+        for (std::uint32_t size = 1; size < Sizes; ++size) {
             m_zones[zone].racks[size].emplace(0, rack);
+            m_all.racks[size].emplace(0, rack);
+        }
     }
     node.workers.push_back(worker);
     m_zones[zone].workers.emplace(0, worker);
+    m_all.workers.emplace(0, worker);
+}
+
+void capacity_index::rankRack(zone_node &in, std::uint32_t size, std::uint32_t rack,
+                              std::uint32_t before, std::uint32_t after)
+{
+    m_steps += 2 * std::bit_width(in.racks[size].size());
+    in.racks[size].erase({before, rack});
+    in.racks[size].emplace(after, rack);
+}
+
+void capacity_index::rankWorker(zone_node &in, worker_index worker, std::uint32_t before,
+                                std::uint32_t after)
+{
+    m_steps += 2 * std::bit_width(in.workers.size());
+    in.workers.erase({before, worker});
+    in.workers.emplace(after, worker);
 }
 
 void capacity_index::set(worker_index worker, std::uint32_t available)
@@ -31,18 +50,19 @@
         return;
     zone_node &zone = m_zones[node.zone];
     rack_node &rack = m_racks[node.rack];
-    zone.workers.erase({before, worker});
-    zone.workers.emplace(available, worker);
+    rankWorker(zone, worker, before, available);
+    rankWorker(m_all, worker, before, available);
     node.available = available;
     m_total = m_total - before + available;
     for (std::uint32_t size = 1; size < Sizes; ++size) {
         if (before / size == available / size)
             continue;
-        m_steps += 2 * std::bit_width(zone.racks[size].size());
-        zone.racks[size].erase({rack.fit[size], node.rack});
-        rack.fit[size] = rack.fit[size] - before / size + available / size;
+        const std::uint32_t fit = rack.fit[size] - before / size + available / size;
+        rankRack(zone, size, node.rack, rack.fit[size], fit);
+        rankRack(m_all, size, node.rack, rack.fit[size], fit);
         zone.fit[size] = zone.fit[size] - before / size + available / size;
-        zone.racks[size].emplace(rack.fit[size], node.rack);
+        m_all.fit[size] = m_all.fit[size] - before / size + available / size;
+        rack.fit[size] = fit;
     }
 }
 
@@ -76,12 +96,19 @@
 {
     if (zone != AnyZone)
         return zone < m_zones.size() && leftoverIn(m_zones[zone], wanted).has_value();
+    if (wanted.within != adjacency::Zone)
+        return leftoverIn(m_all, wanted).has_value();
     return std::any_of(m_zones.begin(), m_zones.end(),
                        [&](const zone_node &node) { return leftoverIn(node, wanted).has_value(); });
 }
 
 std::optional<gang_location> capacity_index::find(const shape &wanted, std::uint32_t zone) const
 {
+    if (zone == AnyZone && wanted.within != adjacency::Zone) {
+        if (!leftoverIn(m_all, wanted))
+            return std::nullopt;
+        return locate(m_all, wanted);
+    }
     const zone_node *best = nullptr;
     std::uint32_t bestLeftover = UINT32_MAX;
     for (std::uint32_t i = 0; i < m_zones.size(); ++i) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -163,6 +163,53 @@
     EXPECT_EQ(here.stateOf(preempted[0].job.str()), job_state::Queued);
 }
 
+// Guards against urgent jobs beyond the contract that hide a covered one behind them.
+TEST(Reclaim, FindsTheCoveredJobBehindOthers)
+{
+    site here(3);
+    here.promise("g", "a", {1, 1}, 1);
+    EXPECT_TRUE(here.policy.submit(job("fill", {3, 8, adjacency::Rack}, urgency::Normal, "b")));
+    here.settle(Start);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_TRUE(here.policy.submit(job(absl::StrCat(i), {1, 8}, urgency::Urgent)));
+    EXPECT_TRUE(here.policy.submit(job("covered", {1, 1}, urgency::Urgent)));
+    const auto preempted = here.settle(Start);
+    ASSERT_EQ(preempted.size(), 1);
+    EXPECT_EQ(preempted[0].beneficiary, job_id("covered"));
+}
+
+// Guards against a scheduler that only knows placements which it proposed itself, and against two
+// gangs on the same accelerators.
+TEST(Placement, ReplaysDecisionsOfAnotherProcess)
+{
+    site here;
+    here.promise("g", "a", {1, 4}, 1);
+    EXPECT_TRUE(here.policy.submit(job("1", {1, 4}, urgency::Urgent)));
+    EXPECT_TRUE(here.policy.submit(job("2", {1, 4})));
+    const std::vector<gang_member> members {{worker_id("w5"), process_id("p5"), 0xf0}};
+    EXPECT_TRUE(here.policy.placementAccepted(job_id("1"), 1, members, contract_id("g")));
+    EXPECT_EQ(reasonOf(here.policy.placementAccepted(job_id("2"), 1, members)),
+              reason::AcceleratorBusy);
+    EXPECT_EQ(reasonOf(here.policy.placementAccepted(job_id("2"), 2, members)),
+              reason::StaleAttempt);
+    EXPECT_EQ(reasonOf(here.policy.removeTeam(team_id("a"))), reason::WrongState);
+    here.end("1", attempt_outcome::Completed, Start, 10);
+    EXPECT_TRUE(here.policy.guaranteesAtRisk().empty());
+}
+
+// Guards against a guard set by an operator that ends by itself.
+TEST(Guard, OfAnOperatorLasts)
+{
+    site here(1);
+    EXPECT_TRUE(here.policy.setWorkerCondition(worker_id("w0"), worker_condition::Guarded));
+    EXPECT_TRUE(here.policy.submit(job("1", {1, 1})));
+    here.settle(Start + absl::Hours(24));
+    EXPECT_EQ(here.stateOf("1"), job_state::Queued);
+    const auto why = here.policy.explain(job_id("1"));
+    ASSERT_TRUE(why);
+    EXPECT_EQ(why->why, reason::AcceleratorBusy);
+}
+
 // Guards against a job that is not repeatable and runs again after it may have run.
 TEST(Attempts, NotRepeatableRunsAgainOnlyAfterAborted)
 {
