--- a/include/hyssoppond/policy/decision_type.h
+++ b/include/hyssoppond/policy/decision_type.h
@@ -72,7 +72,7 @@
 struct scheduler_options
 {
     bool guaranteeCheck = true; ///< test the packing of all unused guarantees (I1)
-    bool bestFit = true;        ///< least leftover; off: first position that fits
+    bool bestFit = true; ///< least leftover; off: the worker with the most free, the first zone
     bool learnRunTimes = true;  ///< off: declared run times order the queue
     bool fairShares = true;     ///< off: one order over all teams
     bool holdForStarved = true; ///< keep workers for a gang that waits for its shape
