--- a/include/hyssoppond/base/bounded_archive_base.h
+++ b/include/hyssoppond/base/bounded_archive_base.h
@@ -3,6 +3,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/cereal.hpp>
+#include <cereal/types/common.hpp>
 
 #include <bit>
 #include <cstdint>
--- a/src/gang/gang_codec.cpp
+++ b/src/gang/gang_codec.cpp
@@ -1,7 +1,7 @@
 /// @file Encoding of the gang messages with cereal's portable binary archive.
 #include "hyssoppond/gang/gang_codec_func.h"
 
-#include "bounded_input_archive_base.h"
+#include "hyssoppond/base/bounded_archive_base.h"
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/vector.hpp>
@@ -160,7 +160,7 @@
     try {
         bounded_input_archive ar(bytes.substr(2));
         gang_message what = Decoders[index](ar);
-        if (ar.rest() == 0 && isValid(what))
+        if (ar.remaining() == 0 && isValid(what))
             return what;
     } catch (const std::exception &) {
         // cereal reports truncated input and absurd sizes by exceptions; both are malformed here.
--- a/src/routing/call_message.cpp
+++ b/src/routing/call_message.cpp
@@ -1,7 +1,7 @@
 /// @file Encoding of call messages.
 #include "hyssoppond/routing/call_message_type.h"
 
-#include "bounded_archive_type.h"
+#include "hyssoppond/base/bounded_archive_base.h"
 
 #include <absl/strings/str_format.h>
 #include <cereal/archives/portable_binary.hpp>
@@ -74,7 +74,7 @@
     try {
         bounded_input_archive archive(bytes);
         archive(what);
-        if (!archive.atEnd())
+        if (archive.remaining() != 0)
             return malformed();
     } catch (const cereal::Exception &) {
         return malformed();
