--- a/faults/call_checks.cpp
+++ b/faults/call_checks.cpp
@@ -114,13 +114,13 @@
 
 call_submission makeCall(call_site &site, const load_options &options, std::size_t index)
 {
-    static const std::vector<urgency> Levels {urgency::Background, urgency::Normal,
+    static const std::vector<urgency> levels {urgency::Background, urgency::Normal,
                                               urgency::Urgent};
     call_submission call;
     call.id = {team_id(absl::StrFormat("team-%d", index % 2)),
                request_id(absl::StrFormat("call-%d", index))};
     call.caller = caller_id(absl::StrFormat("caller-%d", index % 3));
-    call.level = Levels[site.clock.random() % Levels.size()];
+    call.level = levels[site.clock.random() % levels.size()];
     call.deadline = site.clock.now() + options.deadline;
     call.payload = absl::StrFormat("payload %d", index);
     return call;
--- a/faults/gang_faults.cpp
+++ b/faults/gang_faults.cpp
@@ -147,8 +147,8 @@
 
 const std::vector<gang_fault> &gangFaults()
 {
-    static const std::vector<gang_fault> All = build();
-    return All;
+    static const std::vector<gang_fault> all = build();
+    return all;
 }
 
 } // namespace hyssoppond::faults
--- a/src/entry/config_value.cpp
+++ b/src/entry/config_value.cpp
@@ -28,7 +28,7 @@
 class field_reader
 {
 public:
-    field_reader(const json &object, std::set<std::string> allowed)
+    field_reader(const json &object, const std::set<std::string> &allowed)
         : m_object(object)
     {
         for (const auto &[name, value] : object.items()) {
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -98,7 +98,7 @@
             m_cluster->bindRequest(
                 id.team, id.request, proposed.agent, proposed.incarnation,
                 std::min(proposed.until, absl::Now() + BindTimeout),
-                [this, proposed, done](result<journal::binding_entry> bound) {
+                [this, proposed, done](const result<journal::binding_entry> &bound) {
                     m_callRunner->post([proposed, done, bound] {
                         if (!bound)
                             return done(tl::unexpected<error>(bound.error()));
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -100,9 +100,9 @@
 
 const member_table::entries &member_table::inZone(const zone_id &zone) const
 {
-    static const entries None;
+    static const entries none;
     const auto it = m_zones.find(zone);
-    return it == m_zones.end() ? None : it->second;
+    return it == m_zones.end() ? none : it->second;
 }
 
 void member_table::link(member_entry &entry)
