Run the tasks that a full pool did not take, and lose no tick

Cause: machine_runner asked a full pool once after a batch; the rest of the queue then waited for the next post or tick, and stop() dropped it. A timer that fired while a batch was ending lost its tick; this was found by reading, no test shows it. Ruled out: raising the queue of the pool, which only makes the case rarer. Conclusion: queued tasks run also when the pool is full.

--- a/src/base/machine_runner.cpp
+++ b/src/base/machine_runner.cpp
@@ -3,6 +3,7 @@
 
 #include <absl/time/clock.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace hyssoppond {
@@ -80,12 +81,17 @@
     for (const auto &task : batch)
         task();
     m_tick();
-    const absl::Time next = std::max(m_nextDeadline(), absl::Now() + ShortestTick);
-    m_timer->wakeAt(next);
+    absl::Time next = std::max(m_nextDeadline(), absl::Now() + ShortestTick);
     const absl::MutexLock lock(&m_mutex);
     m_scheduled = false;
-    if (!m_tasks.empty())
+    if (!m_tasks.empty()) {
         schedule();
+        if (!m_scheduled)
+            next = std::min(next, absl::Now() + RetryWhenPoolIsFull);
+    }
+    // Under the mutex: a timer that fires before m_scheduled is false would lose the tick, and
+    // stop() may destroy the timer once the mutex is free.
+    m_timer->wakeAt(next);
 }
 
 void machine_runner::stop()
@@ -93,10 +99,18 @@
     if (m_timer)
         m_timer->stop();
     const auto idle = [this]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) { return !m_scheduled; };
-    const absl::MutexLock lock(&m_mutex);
-    m_stopping = true;
-    m_mutex.Await(absl::Condition(&idle));
-    m_tasks.clear();
+    std::deque<std::function<void()>> left;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_stopping = true;
+        m_mutex.Await(absl::Condition(&idle));
+        left.swap(m_tasks);
+        if (!m_started)
+            return;
+    }
+    // A full pool did not take the runner again after its last batch.
+    for (const auto &task : left)
+        task();
 }
 
 } // namespace hyssoppond
--- a/tests/base_test.cpp
+++ b/tests/base_test.cpp
@@ -2,16 +2,18 @@
 #include "hyssoppond/base/counters_base.h"
 #include "hyssoppond/base/error_type.h"
 #include "hyssoppond/base/id_type.h"
+#include "hyssoppond/base/machine_runner_base.h"
 #include "hyssoppond/base/settings_base.h"
 #include "hyssoppond/base/thread_pool_base.h"
 
 #include <absl/synchronization/notification.h>
+#include <absl/time/clock.h>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <atomic>
-
 #include <set>
+#include <vector>
 
 namespace hyssoppond {
 namespace {
@@ -131,5 +133,124 @@
     mutex.Await(absl::Condition(&twice));
 }
 
+constexpr int MoreThanOneBatch = 200; ///< a machine_runner runs 64 tasks in one go
+
+/// A runner on a pool of one thread whose queue holds one task, and the tasks that ran.
+class full_pool_test : public testing::Test
+{
+protected:
+    /// Posts tasks of which the first one fills the pool's queue, so that the pool cannot take the
+    /// runner again after its first batch.
+    void runWithFullPool()
+    {
+        m_runner.post([this] {
+            ASSERT_TRUE(m_pool.post([this] { m_release.WaitForNotification(); }));
+            m_poolIsFull.Notify();
+        });
+        for (int i = 0; i < MoreThanOneBatch; ++i)
+            m_runner.post([this] {
+                if (++m_ran == MoreThanOneBatch)
+                    m_allRan.Notify();
+            });
+        m_runner.start();
+        m_poolIsFull.WaitForNotification();
+    }
+
+    thread_pool m_pool {"test", 1, 1};
+    absl::Notification m_poolIsFull;
+    absl::Notification m_release;
+    absl::Notification m_allRan;
+    std::atomic<int> m_ran = 0;
+    machine_runner m_runner {"runner", &m_pool, 1000, [] {}, [] { return absl::InfiniteFuture(); }};
+};
+
+// Guards against tasks of one state machine that overlap or overtake each other, and against a
+// queue without a bound.
+TEST(MachineRunnerTest, RunsTasksInOrderAndOneAtATime)
+{
+    thread_pool pool("test", 4, 16);
+    machine_runner runner(
+        "runner", &pool, MoreThanOneBatch, [] {}, [] { return absl::InfiniteFuture(); });
+    std::atomic<int> running = 0;
+    bool overlapped = false;
+    std::vector<int> order;
+    for (int i = 0; i < MoreThanOneBatch; ++i)
+        ASSERT_TRUE(runner.post([&, i] {
+            overlapped = overlapped || ++running > 1;
+            order.push_back(i);
+            --running;
+        }));
+    EXPECT_FALSE(runner.post([] {}));
+    runner.start();
+    runner.stop();
+    EXPECT_FALSE(runner.post([] {}));
+    EXPECT_FALSE(overlapped);
+    ASSERT_EQ(order.size(), MoreThanOneBatch);
+    for (int i = 0; i < MoreThanOneBatch; ++i)
+        EXPECT_EQ(order[static_cast<std::size_t>(i)], i);
+}
+
+// Guards against a state machine that gets no tick when it is due and no message arrives.
+TEST(MachineRunnerTest, TicksWhenDueWithoutTasks)
+{
+    thread_pool pool("test", 1, 16);
+    absl::Notification thirdTick;
+    int ticks = 0;
+    machine_runner runner(
+        "runner", &pool, 16,
+        [&] {
+            if (++ticks == 3)
+                thirdTick.Notify();
+        },
+        [&] { return ticks < 3 ? absl::Now() : absl::InfiniteFuture(); });
+    runner.start();
+    thirdTick.WaitForNotification();
+    runner.stop();
+    EXPECT_GE(ticks, 3);
+}
+
+// Guards against a task that never runs because the pool was full when it was posted.
+TEST(MachineRunnerTest, RunsTaskPostedWhileThePoolIsFull)
+{
+    thread_pool pool("test", 1, 1);
+    machine_runner runner(
+        "runner", &pool, 16, [] {}, [] { return absl::InfiniteFuture(); });
+    runner.start();
+    absl::Notification first;
+    ASSERT_TRUE(runner.post([&] { first.Notify(); }));
+    first.WaitForNotification();
+    absl::Notification release;
+    absl::Notification blocked;
+    while (!pool.post([&] {
+        blocked.Notify();
+        release.WaitForNotification();
+    })) {
+    }
+    blocked.WaitForNotification();
+    (void)pool.post([] {}); // refused if the runner itself fills the queue
+    absl::Notification ran;
+    ASSERT_TRUE(runner.post([&] { ran.Notify(); }));
+    release.Notify();
+    ran.WaitForNotification();
+}
+
+// Guards against tasks that wait for the next message or tick because the pool was full when a
+// batch ended. The limit only turns a hang into a failure.
+TEST_F(full_pool_test, ContinuesWhenThePoolHasRoomAgain)
+{
+    runWithFullPool();
+    m_release.Notify();
+    EXPECT_TRUE(m_allRan.WaitForNotificationWithTimeout(absl::Seconds(30)));
+}
+
+// Guards against a stop that drops queued tasks because the pool is full.
+TEST_F(full_pool_test, StopRunsQueuedTasksAlthoughThePoolIsFull)
+{
+    runWithFullPool();
+    m_release.Notify();
+    m_runner.stop();
+    EXPECT_EQ(m_ran, MoreThanOneBatch);
+}
+
 } // namespace
 } // namespace hyssoppond
