--- a/src/tool/job_commands.cpp
+++ b/src/tool/job_commands.cpp
@@ -138,7 +138,7 @@
 tool_command jobCommand(const std::string &name, const std::string &method,
                         const std::string &summary)
 {
-    return {name, "JOB", summary, true,
+    return {name, "JOB [--request-id ID]", summary, true,
             [method](tool_context *context, const words &given, bool check) -> result<exit_code> {
                 const auto parsed = arguments::parse(given, {{"request-id"}, {}, 1, 1});
                 if (!parsed)
--- a/src/tool/runbook_commands.cpp
+++ b/src/tool/runbook_commands.cpp
@@ -57,8 +57,14 @@
             *context->progress << absl::StrFormat("step %d of %d: %s\n", i + 1, book.steps.size(),
                                                   book.steps[i].words.front());
         const auto done = runStep(context, book.steps[i], check);
-        if (!done)
-            return tl::unexpected<error>(atStep(book.steps[i], i + 1, done.error()));
+        if (!done) {
+            error problem = atStep(book.steps[i], i + 1, done.error());
+            if (!check)
+                problem.message += absl::StrFormat("; correct the cause and run again with "
+                                                   "--run-id %s to continue here",
+                                                   runId);
+            return tl::unexpected<error>(std::move(problem));
+        }
         if (*done != exit_code::Ok) {
             *context->out << absl::StrFormat(
                 "step %d (line %d) ended with code %d; correct the cause and run again with "
--- a/src/tool/tool.cpp
+++ b/src/tool/tool.cpp
@@ -12,6 +12,7 @@
 #include <absl/strings/str_format.h>
 #include <absl/time/clock.h>
 
+#include <algorithm>
 #include <iostream>
 #include <optional>
 
@@ -195,10 +196,18 @@
                                                 : result<exit_code>(exit_code::Ok);
     if (!checked)
         return usage(checked.error());
+    // One id for the command, so that it can be told to the caller.
+    context.requestId = requestIdFor(&context, "");
     const auto done = (*command)->run(&context, words, false);
     if (done)
         return static_cast<int>(*done);
     *err << "hyssopctl: " << describe(done.error()) << "\n";
+    const bool hasOwnId = std::any_of(words.begin(), words.end(), [](const std::string &word) {
+        return word.rfind("--request-id", 0) == 0;
+    });
+    if (done.error().state == execution::Unknown && !hasOwnId
+        && (*command)->usage.find("--request-id") != std::string::npos)
+        *err << "repeat the command with --request-id " << context.requestId << "\n";
     const bool badUsage = done.error().why == reason::InvalidArgument;
     return static_cast<int>(badUsage ? exit_code::Usage : exitCodeOf(done.error()));
 }
