Wait for an entry that has not read the record of a job yet

Change: a wait asks again for up to 5 s when the job is not known; results are returned by move. Ruled out: asking only the entry that accepted the job, because it may be lost meanwhile. Conclusion: waits do not depend on which entry answers; status and cancel still may.

--- a/src/tool/job_commands.cpp
+++ b/src/tool/job_commands.cpp
@@ -17,6 +17,9 @@
 
 /// One Wait request is bounded, so that a silent connection is noticed.
 constexpr absl::Duration LongestWait = absl::Seconds(10);
+/// An entry that did not accept the job itself learns of it from the journal a moment later.
+constexpr absl::Duration JournalLag = absl::Seconds(5);
+constexpr absl::Duration AskAgain = absl::Milliseconds(200);
 
 using words = std::vector<std::string>;
 
@@ -165,6 +168,7 @@
 result<exit_code> waitForJob(tool_context *context, const std::string &job)
 {
     const absl::Time deadline = absl::Now() + context->timeout;
+    const absl::Time knownBy = std::min(deadline, absl::Now() + JournalLag);
     std::string shown;
     while (true) {
         const absl::Duration left = std::min(deadline - absl::Now(), LongestWait);
@@ -176,6 +180,10 @@
         const auto done
             = context->client->call("/hyssoppond.v1.Jobs/Wait", request, &answer,
                                     absl::Now() + left + absl::Seconds(5), repetition::Allowed);
+        if (!done && done.error().why == reason::UnknownJob && absl::Now() < knownBy) {
+            absl::SleepFor(AskAgain);
+            continue;
+        }
         if (!done)
             return tl::unexpected<error>(done.error());
         const std::string state = v1::JobState_Name(answer.state());
--- a/src/tool/runbook_commands.cpp
+++ b/src/tool/runbook_commands.cpp
@@ -56,7 +56,7 @@
         if (!check && context->progress != nullptr)
             *context->progress << absl::StrFormat("step %d of %d: %s\n", i + 1, book.steps.size(),
                                                   book.steps[i].words.front());
-        const auto done = runStep(context, book.steps[i], check);
+        auto done = runStep(context, book.steps[i], check);
         if (!done) {
             error problem = atStep(book.steps[i], i + 1, done.error());
             if (!check)
@@ -84,7 +84,7 @@
     const auto book = readRunbook(parsed->positional()[0]);
     if (!book)
         return tl::unexpected<error>(book.error());
-    const auto checked = runSteps(context, *book, "check", true);
+    auto checked = runSteps(context, *book, "check", true);
     if (!checked)
         return checked;
     *context->out << absl::StrFormat("runbook %s: %d steps are valid\n", book->name,
@@ -104,7 +104,7 @@
     if (!book)
         return tl::unexpected<error>(book.error());
     // All steps are checked before the first one has an effect.
-    const auto checked = runSteps(context, *book, parsed->text("run-id"), true);
+    auto checked = runSteps(context, *book, parsed->text("run-id"), true);
     if (!checked)
         return checked;
     return runSteps(context, *book, parsed->text("run-id"), false);
--- a/tests/tool_test.cpp
+++ b/tests/tool_test.cpp
@@ -70,12 +70,14 @@
         });
         serve<v1::PublishRequest, v1::PublishResponse>("Config/Publish",
                                                        [](const auto &, auto *) {});
-        m_server.add(makeMethod<v1::WaitRequest, v1::Job>("/hyssoppond.v1.Jobs/Wait",
-                                                          [this](const auto &, auto reply) {
-                                                              v1::Job job;
-                                                              job.set_state(m_endState);
-                                                              reply(job);
-                                                          }));
+        m_server.add(makeMethod<v1::WaitRequest, v1::Job>(
+            "/hyssoppond.v1.Jobs/Wait", [this](const auto &, auto reply) {
+                if (m_unknownAnswers-- > 0)
+                    return reply(fail(reason::UnknownJob, "no such job"));
+                v1::Job job;
+                job.set_state(m_endState);
+                reply(job);
+            }));
         EXPECT_TRUE(m_server.start().has_value());
     }
 
@@ -108,6 +110,7 @@
     std::string m_failing;
     execution m_failure = execution::Ran;
     v1::JobState m_endState = v1::COMPLETED;
+    int m_unknownAnswers = 0; ///< of Jobs/Wait, before it knows the job
 };
 
 // Guards against words that are split inside quotes, and against comments taken for steps.
@@ -234,6 +237,15 @@
         EXPECT_EQ(runWith(wrong).code, 2);
 }
 
+// Guards against a wait that fails because another entry has not read the job's record yet.
+TEST_F(tool_test, WaitsForAnEntryThatDoesNotKnowTheJobYet)
+{
+    m_unknownAnswers = 2;
+    EXPECT_EQ(run({"submit", "--team", "east", "--wait", "--", "x"}).code, 0);
+    m_unknownAnswers = 1000;
+    EXPECT_EQ(run({"--timeout", "1", "wait", "j-0"}).code, 3);
+}
+
 // Guards against an outcome that stays unknown because the caller cannot repeat the request.
 TEST_F(tool_test, UnknownOutcomeNamesTheRequestId)
 {
