--- a/src/tool/runbook_commands.cpp
+++ b/src/tool/runbook_commands.cpp
@@ -56,9 +56,15 @@
         if (!check && context->progress != nullptr)
             *context->progress << absl::StrFormat("step %d of %d: %s\n", i + 1, book.steps.size(),
                                                   book.steps[i].words.front());
-        const auto done = runStep(context, book.steps[i], check);
-        if (!done)
-            return tl::unexpected<error>(atStep(book.steps[i], i + 1, done.error()));
+        auto done = runStep(context, book.steps[i], check);
+        if (!done) {
+            error problem = atStep(book.steps[i], i + 1, done.error());
+            if (!check)
+                problem.message += absl::StrFormat("; correct the cause and run again with "
+                                                   "--run-id %s to continue here",
+                                                   runId);
+            return tl::unexpected<error>(std::move(problem));
+        }
         if (*done != exit_code::Ok) {
             *context->out << absl::StrFormat(
                 "step %d (line %d) ended with code %d; correct the cause and run again with "
@@ -78,7 +84,7 @@
     const auto book = readRunbook(parsed->positional()[0]);
     if (!book)
         return tl::unexpected<error>(book.error());
-    const auto checked = runSteps(context, *book, "check", true);
+    auto checked = runSteps(context, *book, "check", true);
     if (!checked)
         return checked;
     *context->out << absl::StrFormat("runbook %s: %d steps are valid\n", book->name,
@@ -98,7 +104,7 @@
     if (!book)
         return tl::unexpected<error>(book.error());
     // All steps are checked before the first one has an effect.
-    const auto checked = runSteps(context, *book, parsed->text("run-id"), true);
+    auto checked = runSteps(context, *book, parsed->text("run-id"), true);
     if (!checked)
         return checked;
     return runSteps(context, *book, parsed->text("run-id"), false);
