Take over gangs in the epoch in which they were placed in fault scenarios

Cause: gang_scenario::takeOver passed placed = 1 for each attempt. The agents answered correctly that the void placement of epoch 1 never ran, so the attempt was reported as aborted. Change: the scenario keeps the epoch of the placement. The case is the fixed cell I4 gang-several-faults two-takeovers. With the trace and placed = 1 restored it fails again as described.

--- a/faults/gang_cells.cpp
+++ b/faults/gang_cells.cpp
@@ -55,6 +55,9 @@
     }
     all.push_back({"I2", "gang-several-faults", "any",
                    [](const cell_context &c) { return runSchedule(c.seed); }, ""});
+    // Two deciders in turn take over attempts that were placed in different epochs.
+    all.push_back({"I4", "gang-several-faults", "two-takeovers",
+                   [](const cell_context &) { return runSchedule(122); }, ""});
     return all;
 });
 
--- a/faults/gang_scenario.cpp
+++ b/faults/gang_scenario.cpp
@@ -62,6 +62,7 @@
 void gang_scenario::startAttempt(attempt_number attempt)
 {
     m_attempt = attempt;
+    m_placed = epoch;
     m_reserved = 0;
     auto placement = site.placementOf("j", attempt, members, epoch);
     placement.spec.repeatable = repeatable;
@@ -87,7 +88,7 @@
     for (const told_end &end : site.ends)
         ended = ended || end.attempt == m_attempt;
     auto placement = site.placementOf("j", m_attempt, members, epoch);
-    placement.placed = 1; // the first attempt of an epoch keeps the epoch of its placement
+    placement.placed = m_placed; // as recorded in the journal by the decider that placed it
     if (!ended)
         (void)entry().process->takeOver(placement);
 }
--- a/faults/gang_scenario_base.h
+++ b/faults/gang_scenario_base.h
@@ -74,6 +74,7 @@
 
     std::vector<planned> m_planned;
     attempt_number m_attempt = 0;
+    epoch_number m_placed = 0; ///< epoch in which the attempt m_attempt was placed
     std::size_t m_reserved = 0;
     bool m_over = false;
 };
