Count refused starts of lost attempts for the guard

Cause: a gang of which one member started while another worker refused ends as Lost, which the guard ignored. Change: scheduler::startRefused counts such a start for the worker that refused it. Ruled out: counting every Lost attempt, since all workers of the gang would count.

--- a/include/hyssoppond/policy/scheduler_base.h
+++ b/include/hyssoppond/policy/scheduler_base.h
@@ -91,6 +91,9 @@
     result<void> attemptEnded(const job_id &id, attempt_number attempt, attempt_outcome outcome,
                               absl::Time time, double runSeconds,
                               command_mode mode = command_mode::Execute);
+    /// Counts a start that `id` refused although another member of the gang had started, so that
+    /// the outcome of the attempt does not show it. UnknownJob, UnknownEndpoint.
+    result<void> startRefused(const job_id &job, const worker_id &id, absl::Time time);
 
     /// Proposals for the state at `now`. Has no effect on jobs, workers and contracts; it only
     /// advances what depends on time: the end of guards and the holds for starved gangs.
--- a/src/policy/scheduler_attempt_cmd.cpp
+++ b/src/policy/scheduler_attempt_cmd.cpp
@@ -206,6 +206,20 @@
     changeCondition(index, worker_condition::Guarded);
 }
 
+result<void> scheduler::startRefused(const job_id &job, const worker_id &id, absl::Time time)
+{
+    const auto known = m_jobs.find(job);
+    if (known == m_jobs.end())
+        return fail(reason::UnknownJob, "the job is not known; submit it first");
+    const auto index = m_fleet.find(id);
+    if (!index)
+        return fail(reason::UnknownEndpoint,
+                    absl::StrFormat("worker %s is not in the fleet; list the workers", id.str()));
+    if (m_options.guard)
+        noteFailedStart(*index, known->second, attempt_outcome::Aborted, time);
+    return {};
+}
+
 void scheduler::noteGoodStart(worker_index index)
 {
     fleet_worker &good = m_fleet.at(index);
