Discover only gang members that may have run

Cause: discover() reported reserved and fenced members too. Their coordinator may have told the caller that the job did not run, and adopting them would start it again. Change: only members that are Starting, Running or Ended are reported.

--- a/src/gang/gang_coordinator.cpp
+++ b/src/gang/gang_coordinator.cpp
@@ -158,7 +158,11 @@
                                  const gang_message &what)
 {
     const auto *state = std::get_if<gang_state>(&what);
-    if (state != nullptr && state->plan.size() == 1 && m_hooks.onDiscovered) {
+    // A member that is only reserved or fenced has no run to take over; its coordinator may have
+    // told the caller that the job did not run.
+    const bool mayRun = state != nullptr && state->state != gang_member_state::Reserved
+        && state->state != gang_member_state::Fenced;
+    if (mayRun && state->plan.size() == 1 && m_hooks.onDiscovered) {
         const gang_plan &plan = state->plan.front();
         return m_hooks.onDiscovered(
             {plan.spec, header.attempt, header.placed, m_epoch, plan.members});
