Apply commands and configuration changes once per request id

Cause: a repeated runbook step undid a later command or change, because only the newest request id of a key and no request id of a job was remembered; a binding had no deadline of its first binder. Change: a job remembers its last 32 commands, a key its last 16 changes; a repetition is accepted as repeated without effect. The same request id with another command is RequestIdReused. request_bound and binding_entry carry the first deadline. RecordVersion and SnapshotVersion are 2, because the layout changed. The test of newer payloads now takes RecordVersion + 1 instead of the constant 2, which is no longer a newer version; it asserts the same.

--- a/include/hyssoppond/journal/cluster_state_base.h
+++ b/include/hyssoppond/journal/cluster_state_base.h
@@ -59,6 +59,8 @@
     const binding_entry *findBinding(const team_id &team, const request_id &request) const;
     /// Configuration of a key that exists; null if it does not.
     const config_entry *findConfig(const std::string &key) const;
+    /// Earlier application of this change to its key, also if the key was removed; null if none.
+    const applied_change *findApplied(const config_changed &change) const;
     /// Accelerators of `worker` that placed or running attempts hold.
     accelerator_mask allocated(const worker_id &worker) const;
     /// Payloads skipped because a newer program wrote them, and because they were damaged.
--- a/include/hyssoppond/journal/cluster_type.h
+++ b/include/hyssoppond/journal/cluster_type.h
@@ -20,6 +20,39 @@
     bool outageRight = false;   ///< the grant conferred the outage right that it names
 };
 
+/// Command that was applied to a job.
+struct applied_command
+{
+    request_id request;
+    command_kind kind = command_kind::Cancel;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(request, kind);
+    }
+};
+
+/// Change that was applied to a configuration key.
+struct applied_change
+{
+    request_id request;
+    std::string issuedBy;
+    std::uint64_t valueHash = 0;
+    journal_offset version = 0;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(request, issuedBy, valueHash, version);
+    }
+};
+
+/// Requests remembered per job and per key. A runbook repeats its steps in order, so a repetition
+/// comes at most a few requests after the first one.
+constexpr std::size_t MaxAppliedCommands = 32;
+constexpr std::size_t MaxAppliedChanges = 16;
+
 /// A job as reduced from the journal.
 struct job_entry
 {
@@ -37,8 +70,9 @@
     absl::Time startedAt = absl::InfinitePast();
     absl::Time changedAt = absl::InfinitePast(); ///< record time of the last change
     attempt_outcome lastOutcome = attempt_outcome::Completed;
-    double runSeconds = 0; ///< of all attempts
-    contract_id contract;  ///< of the current attempt; empty: borrowed
+    double runSeconds = 0;                ///< of all attempts
+    contract_id contract;                 ///< of the current attempt; empty: borrowed
+    std::vector<applied_command> applied; ///< the last MaxAppliedCommands, oldest first
 
     bool isEnded() const { return state >= job_state::Completed; }
     bool isOnWorkers() const { return state == job_state::Placed || state == job_state::Running; }
@@ -48,7 +82,7 @@
     {
         ar(spec, state, attempt, domain, epoch, members, cancelRequested, suspendRequested,
            requeueRequested, submitted, placedAt, startedAt, changedAt, lastOutcome, runSeconds,
-           contract);
+           contract, applied);
     }
 };
 
@@ -79,11 +113,12 @@
     incarnation_number incarnation = 0;
     journal_offset offset = 0;
     absl::Time boundAt;
+    absl::Time until = absl::InfiniteFuture(); ///< deadline of the first binder
 
     template<class archive>
     void serialize(archive &ar)
     {
-        ar(agent, incarnation, offset, boundAt);
+        ar(agent, incarnation, offset, boundAt, until);
     }
 };
 
@@ -95,11 +130,12 @@
     request_id request;
     std::string issuedBy;
     absl::Time changedAt;
+    std::vector<applied_change> applied; ///< the last MaxAppliedChanges, oldest first
 
     template<class archive>
     void serialize(archive &ar)
     {
-        ar(value, version, request, issuedBy, changedAt);
+        ar(value, version, request, issuedBy, changedAt, applied);
     }
 };
 
--- a/include/hyssoppond/journal/record_codec_func.h
+++ b/include/hyssoppond/journal/record_codec_func.h
@@ -11,7 +11,7 @@
 namespace hyssoppond::journal {
 
 /// Version byte of the payloads that this program writes.
-constexpr std::uint8_t RecordVersion = 1;
+constexpr std::uint8_t RecordVersion = 2;
 constexpr std::size_t MaxPayloadBytes = 1024 * 1024;
 
 /// Version byte, xxhash of the rest, then the batch as a portable binary archive.
--- a/include/hyssoppond/journal/record_type.h
+++ b/include/hyssoppond/journal/record_type.h
@@ -136,11 +136,12 @@
     team_id team;
     process_id agent;
     incarnation_number incarnation = 0;
+    absl::Time until = absl::InfiniteFuture(); ///< the call does not run after this time
 
     template<class archive>
     void serialize(archive &ar)
     {
-        ar(request, team, agent, incarnation);
+        ar(request, team, agent, incarnation, until);
     }
 };
 
--- a/src/journal/cluster_control.cpp
+++ b/src/journal/cluster_control.cpp
@@ -2,10 +2,21 @@
 #include "hyssoppond/journal/cluster_state_base.h"
 #include "verdict_func.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace hyssoppond::journal {
 
+namespace {
+
+std::uint64_t hashOf(const std::string &value)
+{
+    return XXH64(value.data(), value.size(), 0);
+}
+
+} // namespace
+
 bool cluster_state::grantRight(domain_entry &domain, const decider_grant &body) const
 {
     if (body.outageUntil == absl::InfinitePast())
@@ -66,7 +77,8 @@
 verdict cluster_state::reduceBody(const request_bound &body)
 {
     const auto [it, added] = m_bindings.try_emplace(
-        {body.team, body.request}, binding_entry {body.agent, body.incarnation, m_offset, m_time});
+        {body.team, body.request},
+        binding_entry {body.agent, body.incarnation, m_offset, m_time, body.until});
     if (added)
         return accept();
     const binding_entry &winner = it->second;
@@ -75,6 +87,20 @@
         : reject(reason::RequestIdReused, winner.offset);
 }
 
+const applied_change *cluster_state::findApplied(const config_changed &change) const
+{
+    const auto known = m_config.find(change.key);
+    if (known == m_config.end() || change.request.isEmpty())
+        return nullptr;
+    const std::uint64_t hash = hashOf(change.value);
+    const auto &applied = known->second.applied;
+    const auto it = std::find_if(applied.begin(), applied.end(), [&](const applied_change &one) {
+        return one.request == change.request && one.issuedBy == change.issuedBy
+            && one.valueHash == hash;
+    });
+    return it == applied.end() ? nullptr : &*it;
+}
+
 verdict cluster_state::reduceBody(const config_changed &body)
 {
     if (body.key.empty())
@@ -83,14 +109,24 @@
     const bool exists = known != m_config.end() && !known->second.value.empty();
     const journal_offset version = known == m_config.end() ? 0 : known->second.version;
     // An operator who repeats a change whose answer was lost gets the answer of the first one.
-    if (known != m_config.end() && !body.request.isEmpty() && known->second.request == body.request
-        && known->second.issuedBy == body.issuedBy && known->second.value == body.value)
-        return repeat(version);
+    // Later changes of the key do not matter: a repeated runbook step must not undo them.
+    if (const applied_change *earlier = findApplied(body))
+        return repeat(earlier->version);
     if (body.expectedVersion != version && (exists || body.expectedVersion != 0))
         return reject(reason::VersionConflict, version);
     if (!exists && body.value.empty())
         return reject(reason::VersionConflict, version);
-    m_config[body.key] = {body.value, m_offset, body.request, body.issuedBy, m_time};
+    config_entry &entry = m_config[body.key];
+    entry.value = body.value;
+    entry.version = m_offset;
+    entry.request = body.request;
+    entry.issuedBy = body.issuedBy;
+    entry.changedAt = m_time;
+    if (!body.request.isEmpty()) {
+        entry.applied.push_back({body.request, body.issuedBy, hashOf(body.value), m_offset});
+        if (entry.applied.size() > MaxAppliedChanges)
+            entry.applied.erase(entry.applied.begin());
+    }
     return accept();
 }
 
--- a/src/journal/cluster_jobs.cpp
+++ b/src/journal/cluster_jobs.cpp
@@ -84,6 +84,12 @@
     if (it == m_jobs.end())
         return reject(reason::UnknownJob);
     job_entry &job = it->second;
+    const auto earlier
+        = std::find_if(job.applied.begin(), job.applied.end(),
+                       [&](const applied_command &one) { return one.request == body.request; });
+    if (earlier != job.applied.end())
+        return earlier->kind == body.kind ? repeat(job.submitted)
+                                          : reject(reason::RequestIdReused, job.submitted);
     // Moves the job between two states; the target state counts as done already.
     const auto move = [&](job_state from, job_state to) {
         if (job.state != from && job.state != to)
@@ -117,8 +123,14 @@
         return reject(reason::MalformedRequest);
     };
     const verdict decision = run();
-    if (decision.accepted)
-        job.changedAt = m_time;
+    if (!decision.accepted)
+        return decision;
+    job.changedAt = m_time;
+    if (!body.request.isEmpty()) {
+        job.applied.push_back({body.request, body.kind});
+        if (job.applied.size() > MaxAppliedCommands)
+            job.applied.erase(job.applied.begin());
+    }
     return decision;
 }
 
--- a/src/journal/cluster_state.cpp
+++ b/src/journal/cluster_state.cpp
@@ -10,7 +10,7 @@
 namespace hyssoppond::journal {
 namespace {
 
-constexpr std::uint8_t SnapshotVersion = 1;
+constexpr std::uint8_t SnapshotVersion = 2;
 /// The control plane may use 256 MB on a node; a state larger than half of it is not restored.
 constexpr std::size_t MaxSnapshotBytes = 128 * 1024 * 1024;
 
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -167,6 +167,56 @@
     EXPECT_EQ(log.state.jobs().size(), 1U);
 }
 
+// Guards against a repeated runbook step that undoes a later command, and against a list of request
+// ids that grows without bound.
+TEST(ClusterState, CommandIsAppliedOncePerRequest)
+{
+    writer log;
+    const job_id job = specOf("r").id;
+    const auto write = [&](command_kind kind, const std::string &request) {
+        return log.write(job_command {job, kind, request_id(request), "op"});
+    };
+    log.write(job_submitted {specOf("r")});
+    EXPECT_FALSE(write(command_kind::Hold, "c1").repeated);
+    EXPECT_TRUE(write(command_kind::Release, "c2").accepted);
+    EXPECT_TRUE(write(command_kind::Hold, "c1").repeated);
+    EXPECT_EQ(log.state.findJob(job)->state, job_state::Queued);
+    EXPECT_EQ(write(command_kind::Cancel, "c1").why, reason::RequestIdReused);
+    for (int i = 0; i < 40; ++i)
+        EXPECT_TRUE(write(command_kind::Release, "x" + std::to_string(i)).accepted);
+    EXPECT_EQ(log.state.findJob(job)->applied.size(), MaxAppliedCommands);
+}
+
+// Guards against a repeated change that reverts the configuration to an earlier value.
+TEST(ClusterState, ChangeIsAppliedOncePerRequest)
+{
+    writer log;
+    const auto write = [&](const std::string &value, journal_offset version, int request) {
+        return log.write(config_changed {"team/blue", value, version,
+                                         request_id("r" + std::to_string(request)), "ann"});
+    };
+    EXPECT_TRUE(write("a", 0, 0).accepted);
+    EXPECT_TRUE(write("b", 1, 1).accepted);
+    const verdict again = write("a", 2, 0);
+    EXPECT_TRUE(again.repeated);
+    EXPECT_EQ(again.related, 1U);
+    EXPECT_EQ(log.state.findConfig("team/blue")->value, "b");
+    for (int i = 2; i < 30; ++i)
+        EXPECT_TRUE(write("c", log.state.findConfig("team/blue")->version, i).accepted);
+    EXPECT_EQ(log.state.findConfig("team/blue")->applied.size(), MaxAppliedChanges);
+}
+
+// Guards against a binding that takes the deadline of a later binder.
+TEST(ClusterState, BindingKeepsTheFirstDeadline)
+{
+    writer log;
+    const absl::Time until = log.now + absl::Minutes(1);
+    log.write(request_bound {request_id("r"), team_id("t"), process_id("a"), 1, until});
+    log.write(
+        request_bound {request_id("r"), team_id("t"), process_id("a"), 1, until + absl::Hours(1)});
+    EXPECT_EQ(log.state.findBinding(team_id("t"), request_id("r"))->until, until);
+}
+
 // Guards against a snapshot that lacks state: snapshot plus tail must equal the full replay. Times
 // advance far enough that retention drops entries on both ways.
 TEST(ClusterState, SnapshotPlusTailEqualsReplay)
@@ -197,7 +247,7 @@
 TEST(ClusterState, SkipsPayloadsOfNewerPrograms)
 {
     cluster_state state;
-    EXPECT_TRUE(state.apply(1, std::string("\x02later-format", 13)));
+    EXPECT_TRUE(state.apply(1, std::string(1, char {RecordVersion + 1}) + "later-format"));
     EXPECT_TRUE(state.apply(2, "\x01"));
     EXPECT_EQ(state.skippedNewer(), 1U);
     EXPECT_EQ(state.skippedDamaged(), 1U);
