Start, adopt and record urgent work of an outage in all orders

Cause, found by review or by the cells that follow: with the site full of borrowed work and the log down, the preempted gang's accelerators were not freed, so urgent work did not start; a submission in flight when the log went down was not started; a repeated request at the holder was accepted before all members had reserved; a repetition at another entry was told "not run"; gangs of a dead holder were not asked for; a holder that lost the grant did not record its jobs. Change: the holder frees ended gangs at once, starts unsettled submissions and queued urgent jobs under contract (at the members of a proposal in flight), and records its jobs also without the grant. A new decider asks the agents for 2 s before it places. Refused starts of lost attempts reach the guard. Bindings use the first deadline; a repeated publication is answered before its tests. Ruled out: starting a proposed job elsewhere, since the proposal may have taken effect.

--- a/include/hyssoppond/entry/cluster_table_base.h
+++ b/include/hyssoppond/entry/cluster_table_base.h
@@ -80,9 +80,9 @@
     /// Publishes a change; replies with its version.
     void publish(journal::config_changed change, bool anyVersion, absl::Time deadline,
                  std::function<void(result<journal_offset>)> reply);
-    /// Binds a request id to an agent, or returns the first binding.
+    /// Binds a request id to an agent, or returns the first binding. `until`: deadline of the call.
     void bindRequest(const team_id &team, const request_id &request, const process_id &agent,
-                     incarnation_number incarnation, absl::Time deadline,
+                     incarnation_number incarnation, absl::Time until, absl::Time deadline,
                      std::function<void(result<journal::binding_entry>)> reply);
 
     void receiveGang(const process_id &from, const gang_message &what);
@@ -129,6 +129,13 @@
         std::vector<job_reply> replies;
     };
 
+    /// Submission whose outcome is not known; the holder of the outage right may start the job.
+    struct unsettled_submission
+    {
+        job_spec spec;
+        job_reply reply;
+    };
+
     // Following the journal, cluster_follow.cpp.
     void onRecord(journal_offset offset, const journal::journal_record &record,
                   const journal::verdict &decision);
@@ -162,6 +169,7 @@
     void carryOut(const preempt_decision &what);
     void startGang(const job_id &job, attempt_number attempt);
     void takeOverGangs();
+    void stopLeading();
     void stopFor(const journal::job_entry &job);
     gang_coordinator_hooks coordinatorHooks();
     void onGangStarted(const job_id &job, attempt_number attempt);
@@ -179,6 +187,14 @@
     void endInOutage(const job_id &job, attempt_outcome outcome, double runSeconds);
     void recordOutageJobs();
     void expireOutageJobs();
+    void abandonOutageJobs();
+    void adoptInOutage(const place_decision &what);
+    void convertUnsettled();
+    void settleOutageJob(const job_id &id);
+    void refuseOutageJob(const job_id &id, const error &problem);
+    void discoverGangs();
+    void onGangDiscovered(const gang_placement &found);
+    contract_id contractFor(const job_spec &spec) const;
 
     result<void> checkSpec(const job_spec &spec) const;
 
@@ -195,9 +211,16 @@
     std::set<std::pair<absl::Time, job_id>> m_waiterDeadlines;
     std::set<job_id> m_ended;      ///< jobs that the scheduler forgets when the journal has
     std::set<worker_id> m_drained; ///< workers set to Draining by configuration or departure
-    std::set<job_id> m_proposed;   ///< jobs with a placement that the journal has not settled
+    std::map<job_id, place_decision> m_proposed; ///< placements that the journal has not settled
     std::set<std::pair<process_id, incarnation_number>> m_announcing;
     std::map<job_id, outage_job> m_outageJobs;
+    /// Submissions of urgent jobs that the journal has not settled, by number.
+    std::map<std::uint64_t, unsettled_submission> m_unsettled;
+    std::uint64_t m_nextUnsettled = 0;
+    std::map<job_id, worker_id> m_refusedStarts; ///< worker that refused a member
+    std::set<job_id> m_discovered; ///< gangs of an earlier holder that are being recorded
+    absl::Time m_discoverUntil = absl::InfinitePast();
+    absl::Time m_nextDiscoverAt = absl::InfinitePast();
     /// Records that must reach the journal, kept while it is down.
     std::deque<journal::record_body> m_owed;
     std::size_t m_owedOpen = 0;
--- a/src/entry/cluster_decide.cpp
+++ b/src/entry/cluster_decide.cpp
@@ -16,6 +16,9 @@
 constexpr absl::Duration GrantRetry = absl::Seconds(1);
 constexpr absl::Duration RecordTimeout = absl::Seconds(30);
 constexpr std::size_t MaxOwedOpen = 64;
+/// A new decider asks the agents for gangs this long: enough for several rounds, and with the
+/// detection of the earlier one below the 7.5 s that urgent work may take to start.
+constexpr absl::Duration DiscoveryTime = absl::Seconds(2);
 
 /// Rendezvous weight of a process for a domain; the lowest one leads. Equal in all processes.
 std::uint64_t rankOf(const journal::domain_id &domain, const process_id &process)
@@ -107,28 +110,41 @@
     const auto *known = domain();
     const bool holds = known != nullptr && known->holder == m_settings.self
         && known->incarnation == m_settings.incarnation && !m_stale;
-    if (m_leading && !holds) {
-        m_leading = false;
-        m_coordinator.resign();
-        m_proposed.clear();
-    }
+    if (m_leading && !holds)
+        stopLeading();
     const bool current = m_journal->progress().caughtUp && !logIsDown();
     if (current && !m_stale)
         claimGrant();
     if (!m_leading && holds && current) {
         m_leading = true;
+        m_discoverUntil = epoch() > 1 ? m_env.now() + DiscoveryTime : absl::InfinitePast();
         takeOverGangs();
     }
+    // Also by a holder that no longer leads: the right made these jobs valid.
+    if (current)
+        recordOutageJobs();
     if (!m_leading)
         return;
-    if (current) {
+    if (current)
         announceMembers();
-        recordOutageJobs();
-    }
+    convertUnsettled();
     expireOutageJobs();
+    // A job that the earlier holder started in an outage must be known before it can be placed.
+    if (m_env.now() < m_discoverUntil)
+        return discoverGangs();
     decideNow();
 }
 
+void cluster_table::stopLeading()
+{
+    m_leading = false;
+    m_coordinator.resign();
+    m_proposed.clear();
+    m_discovered.clear();
+    m_refusedStarts.clear();
+    abandonOutageJobs();
+}
+
 void cluster_table::announceMembers()
 {
     const auto announceOnce = [this](const process_id &agent, incarnation_number incarnation,
@@ -182,7 +198,9 @@
             startInOutage(what);
         return;
     }
-    if (logIsDown() || !m_proposed.insert(what.job).second)
+    if (logIsDown())
+        return adoptInOutage(what);
+    if (!m_proposed.emplace(what.job, what).second)
         return;
     m_journal->append(journal::job_placed {m_settings.domain, what.job, what.attempt, epoch(),
                                            what.members, what.contract},
@@ -271,8 +289,11 @@
         = [this](const job_id &job, attempt_number attempt) { onGangStarted(job, attempt); };
     hooks.onEnded = [this](const job_id &job, attempt_number attempt, attempt_outcome outcome,
                            double runSeconds) { onGangEnded(job, attempt, outcome, runSeconds); };
+    hooks.onDiscovered = [this](const gang_placement &found) { onGangDiscovered(found); };
     hooks.onRefused = [this](const gang_refusal &refusal) {
         m_hooks.count(event::Refused, refusal.why);
+        if (refusal.why == reason::WorkerRefused)
+            m_refusedStarts[refusal.job] = refusal.worker;
         writeLog(log_level::Warn, "worker refused a gang member",
                  {{"job", refusal.job.str()},
                   {"worker", refusal.worker.str()},
@@ -306,8 +327,17 @@
     if (outcome == attempt_outcome::Lost || outcome == attempt_outcome::Aborted)
         m_hooks.count(event::Retried,
                       outcome == attempt_outcome::Lost ? reason::MemberLost : reason::Fenced);
+    // An aborted attempt counts for its workers by itself. A lost one does not, and without this
+    // count a gang of which one worker started was placed on the refusing one again ten times a
+    // second.
+    const auto refused = m_refusedStarts.extract(job);
+    if (!refused.empty() && outcome == attempt_outcome::Lost)
+        expect(m_scheduler->startRefused(job, refused.mapped(), m_env.now()));
     if (m_outageJobs.contains(job))
         return endInOutage(job, outcome, runSeconds);
+    // Reclaimed accelerators must be free before the log is back; follow() expects this.
+    if (logIsDown() && hasOutageRight())
+        expect(m_scheduler->attemptEnded(job, attempt, outcome, m_env.now(), runSeconds));
     record(journal::attempt_ended {m_settings.domain, job, attempt, epoch(), outcome, m_env.now(),
                                    runSeconds});
 }
--- a/src/entry/cluster_follow.cpp
+++ b/src/entry/cluster_follow.cpp
@@ -83,6 +83,9 @@
 void cluster_table::follow(const journal::job_placed &body)
 {
     m_proposed.erase(body.job);
+    // The answer to this placement was lost, and the gang was started under the outage right.
+    if (m_outageJobs.contains(body.job))
+        return settleOutageJob(body.job);
     expect(m_scheduler->placementAccepted(body.job, body.attempt, body.members, body.contract));
     if (m_leading && body.epoch == epoch())
         startGang(body.job, body.attempt);
@@ -91,15 +94,8 @@
 void cluster_table::follow(const journal::outage_placed &body)
 {
     const job_id id = body.spec.id;
-    const auto own = m_outageJobs.find(id);
-    if (own != m_outageJobs.end()) {
-        record(journal::gang_started {m_settings.domain, id, 1, epoch(), m_env.now()});
-        if (const auto &ended = own->second.ended)
-            record(journal::attempt_ended {m_settings.domain, id, 1, epoch(), ended->first,
-                                           m_env.now(), ended->second});
-        m_outageJobs.erase(own);
-        return;
-    }
+    if (m_outageJobs.contains(id))
+        return settleOutageJob(id);
     if (m_scheduler->find(id) == nullptr)
         expect(m_scheduler->restore(body.spec, 1));
     expect(m_scheduler->placementAccepted(id, 1, body.members, body.contract));
@@ -132,11 +128,8 @@
 void cluster_table::follow(const journal::decider_grant &body)
 {
     const bool mine = body.holder == m_settings.self && body.incarnation == m_settings.incarnation;
-    if (m_leading && !mine) {
-        m_leading = false;
-        m_coordinator.resign();
-        m_proposed.clear();
-    }
+    if (m_leading && !mine)
+        stopLeading();
     writeLog(log_level::Info, "decider grant",
              {{"holder", body.holder.str()},
               {"epoch", absl::StrFormat("%d", body.epoch)},
--- a/src/entry/cluster_table.cpp
+++ b/src/entry/cluster_table.cpp
@@ -71,12 +71,15 @@
 {
     const job_id id = spec.id;
     const bool known = m_scheduler->find(id) != nullptr;
-    const auto refuse = [&](error problem) {
+    if (isRetry && !known) {
         // The earlier submission may still be accepted through another entry.
-        if (isRetry && !known)
-            problem.state = execution::Unknown;
-        reply(tl::unexpected<error>(std::move(problem)));
-    };
+        reply = [inner = std::move(reply)](result<job_view> answer) {
+            if (!answer && answer.error().why != reason::RequestIdReused)
+                answer.error().state = execution::Unknown;
+            inner(std::move(answer));
+        };
+    }
+    const auto refuse = [&](error problem) { reply(tl::unexpected<error>(std::move(problem))); };
     if (m_leaving)
         return refuse({reason::Leaving, "this entry is leaving; ask another one", execution::NotRun,
                        m_env.now()});
@@ -86,12 +89,21 @@
     const auto checked = checkSpec(spec);
     if (!checked)
         return refuse(checked.error());
+    const auto outage = m_outageJobs.find(id);
+    if (outage != m_outageJobs.end() && !outage->second.started)
+        return outage->second.replies.push_back(std::move(reply)); // it may still be refused
     if (known)
         return reply(view(id));
     if (logIsDown())
         return submitInOutage(spec, std::move(reply));
+    const std::uint64_t number = ++m_nextUnsettled;
+    if (m_leading && spec.level == urgency::Urgent && !spec.held)
+        m_unsettled.emplace(number, unsettled_submission {spec, reply});
+    const bool open = m_unsettled.contains(number);
     m_journal->append(journal::job_submitted {std::move(spec)}, deadline,
-                      [this, id, reply = std::move(reply)](const auto &outcome) {
+                      [this, id, number, open, reply = std::move(reply)](const auto &outcome) {
+                          if (open && m_unsettled.erase(number) == 0)
+                              return; // answered under the outage right
                           if (!outcome)
                               return reply(tl::unexpected<error>(outcome.error()));
                           if (!outcome->decision.accepted)
@@ -105,6 +117,11 @@
 void cluster_table::command(const job_id &job, journal::command_kind kind,
                             const request_id &request, absl::Time deadline, job_reply reply)
 {
+    if (m_outageJobs.contains(job) && m_state.findJob(job) == nullptr)
+        return reply(fail(reason::LogUnavailable,
+                          "the job was accepted while the log is down and is not recorded yet; "
+                          "retry when the log is back",
+                          execution::NotRun, m_env.now() + RefusalDelay));
     if (m_state.findJob(job) == nullptr)
         return reply(unknownJob(job));
     m_journal->append(
@@ -187,6 +204,9 @@
     const auto value = parseConfig(change.key, change.value);
     if (!value)
         return reply(tl::unexpected<error>(value.error()));
+    // The tests below would refuse a repeated removal.
+    if (const auto *earlier = m_state.findApplied(change))
+        return reply(earlier->version);
     result<void> allowed;
     if (const auto *promise = std::get_if<contract>(&*value))
         allowed = change.value.empty()
@@ -218,13 +238,13 @@
 
 void cluster_table::bindRequest(const team_id &team, const request_id &request,
                                 const process_id &agent, incarnation_number incarnation,
-                                absl::Time deadline,
+                                absl::Time until, absl::Time deadline,
                                 std::function<void(result<journal::binding_entry>)> reply)
 {
     if (const auto *bound = m_state.findBinding(team, request))
         return reply(*bound);
     m_journal->append(
-        journal::request_bound {request, team, agent, incarnation}, deadline,
+        journal::request_bound {request, team, agent, incarnation, until}, deadline,
         [this, team, request, reply = std::move(reply)](const auto &outcome) {
             if (!outcome)
                 return reply(tl::unexpected<error>(outcome.error()));
@@ -263,8 +283,7 @@
         && known->incarnation == m_settings.incarnation)
         record(
             journal::decider_release {m_settings.domain, m_settings.self, m_settings.incarnation});
-    m_leading = false;
-    m_coordinator.resign();
+    stopLeading();
 }
 
 void cluster_table::tick()
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -96,13 +96,13 @@
     hooks.bindRequest = [this](const call_id &id, const call_binding &proposed, auto done) {
         m_clusterRunner->post([this, id, proposed, done] {
             m_cluster->bindRequest(
-                id.team, id.request, proposed.agent, proposed.incarnation,
+                id.team, id.request, proposed.agent, proposed.incarnation, proposed.until,
                 std::min(proposed.until, absl::Now() + BindTimeout),
-                [this, proposed, done](result<journal::binding_entry> bound) {
-                    m_callRunner->post([proposed, done, bound] {
+                [this, done](result<journal::binding_entry> bound) {
+                    m_callRunner->post([done, bound] {
                         if (!bound)
                             return done(tl::unexpected<error>(bound.error()));
-                        done(call_binding {bound->agent, bound->incarnation, proposed.until});
+                        done(call_binding {bound->agent, bound->incarnation, bound->until});
                     });
                 });
         });
