--- /dev/null
+++ b/tests/entry_test.cpp
@@ -0,0 +1,92 @@
+/// @file Tests of the cluster table over several entries in virtual time.
+#include "cluster_site_base.h"
+
+#include <gtest/gtest.h>
+
+namespace hyssoppond {
+namespace {
+
+using faults::cluster_site;
+using faults::judgeCompleted;
+
+// Guards against a job that is accepted and does not run, or runs twice when its request is
+// repeated at another entry.
+TEST(ClusterTableTest, RunsARepeatedRequestOnce)
+{
+    cluster_site site(1, 2, 2);
+    site.setRunTime(faults::GangRunTime);
+    const job_spec spec = cluster_site::spec("r-1");
+    const auto &first = site.submit(0, spec);
+    const auto &second = site.submit(1, spec, true);
+    site.clock.runFor(absl::Seconds(2));
+    ASSERT_TRUE(first.isAccepted() && second.isAccepted());
+    EXPECT_EQ((*first.answer)->entry.spec.id, (*second.answer)->entry.spec.id);
+    const auto judged = judgeCompleted(site, 1, spec);
+    EXPECT_TRUE(judged.passed) << judged.detail;
+    EXPECT_EQ(site.startedTasks(spec.id), 2U);
+}
+
+// Guards against a request id that silently stands for two jobs.
+TEST(ClusterTableTest, RefusesAReusedRequestId)
+{
+    cluster_site site(1, 2, 2);
+    job_spec spec = cluster_site::spec("r-1");
+    site.submit(0, spec);
+    site.clock.runFor(absl::Seconds(1));
+    spec.command = "another";
+    const auto &told = site.submit(1, spec);
+    site.clock.runFor(absl::Seconds(1));
+    ASSERT_TRUE(told.isNotRun());
+    EXPECT_EQ(told.answer->error().why, reason::RequestIdReused);
+}
+
+// Guards against a repeated runbook step that suspends a job again after it was resumed.
+TEST(ClusterTableTest, AppliesACommandOncePerRequest)
+{
+    cluster_site site(1, 2, 2);
+    const job_spec spec = cluster_site::spec("r-1");
+    site.submit(0, spec);
+    site.clock.runFor(absl::Seconds(5));
+    site.command(0, spec.id, journal::command_kind::Suspend, "step-1");
+    site.clock.runFor(absl::Seconds(15));
+    site.command(0, spec.id, journal::command_kind::Resume, "step-2");
+    site.clock.runFor(absl::Seconds(10));
+    const auto &again = site.command(1, spec.id, journal::command_kind::Suspend, "step-1");
+    site.clock.runFor(absl::Seconds(15));
+    EXPECT_TRUE(again.isAccepted());
+    EXPECT_TRUE(site.stateAt(1, spec.id) == job_state::Running);
+    EXPECT_EQ(site.runningTasks(spec.id), 2U);
+}
+
+// Guards against work that the sites accept for a team that does not exist or can never place.
+TEST(ClusterTableTest, RefusesImpossibleJobsAsNotRun)
+{
+    cluster_site site(1, 2, 2);
+    const auto &unknown = site.submit(0, cluster_site::spec("r-1", "nobody"));
+    job_spec large = cluster_site::spec("r-2");
+    large.wanted.acceleratorsPerMember = 16;
+    const auto &impossible = site.submit(1, large);
+    site.clock.runFor(absl::Seconds(1));
+    EXPECT_TRUE(unknown.isNotRun());
+    EXPECT_TRUE(impossible.isNotRun());
+}
+
+// Guards against callers that wait for ever, and against a wait that misses the end.
+TEST(ClusterTableTest, WaitEndsWithTheJobOrTheDeadline)
+{
+    cluster_site site(1, 2, 2);
+    site.setRunTime(faults::GangRunTime);
+    const job_spec spec = cluster_site::spec("r-1");
+    site.submit(0, spec);
+    site.clock.runFor(absl::Seconds(1));
+    const auto &early = site.wait(0, spec.id, absl::Seconds(2));
+    const auto &late = site.wait(1, spec.id, absl::Minutes(1));
+    site.clock.runFor(absl::Seconds(3));
+    EXPECT_EQ(early.count, 1);
+    EXPECT_EQ(late.count, 0);
+    site.clock.runFor(absl::Seconds(20));
+    EXPECT_TRUE(late.hasState(job_state::Completed));
+}
+
+} // namespace
+} // namespace hyssoppond
