--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 
 check: deps
 	@scripts/check-format.sh
+	@scripts/render-capacity.py --check
 	@$(MAKE) --no-print-directory lint
 	@$(MAKE) --no-print-directory test
 
--- a/bench/capacity/gang_slopes.cpp
+++ b/bench/capacity/gang_slopes.cpp
@@ -28,6 +28,12 @@
     return options;
 }
 
+/// Job id as callers get it; its length counts in each message.
+std::string jobName(std::size_t number)
+{
+    return jobIdFor(team_id("team-100"), request_id("request-" + std::to_string(number))).str();
+}
+
 /// Traffic of each process, and messages by their type.
 struct gang_traffic
 {
@@ -117,7 +123,7 @@
         gang_traffic counted;
         countTraffic(site, counted);
         const double heap = heapBytes();
-        startGang(site, site.placementOf("job-0", 1, members));
+        startGang(site, site.placementOf(jobName(0), 1, members));
         const absl::Duration taken = runUntilStarted(site, 1);
         report({"milliseconds_to_start_at_" + std::to_string(delay) + "_ms", members,
                 absl::ToDoubleMilliseconds(taken)});
@@ -159,8 +165,8 @@
     site.addEntry("entry-0");
     widenFirstNode(site);
     for (std::size_t gang = 0; gang < GangsOnOneWorker; ++gang) {
-        gang_placement placement = site.placementOf("job-" + std::to_string(gang), 1, 1, 1,
-                                                    static_cast<accelerator_mask>(1U << gang));
+        gang_placement placement
+            = site.placementOf(jobName(gang), 1, 1, 1, static_cast<accelerator_mask>(1U << gang));
         for (std::size_t i = 1; i < members; ++i) {
             const auto &node = *site.nodes[gang * (members - 1) + i];
             placement.members.push_back({{node.worker, node.agent, 0xff}, 0});
@@ -181,10 +187,30 @@
             static_cast<double>(busiest.bytes()) / seconds});
 }
 
+/// Memory of a coordinator whose reservations have not been answered yet.
+void measureCoordinator(std::size_t members, const report_hook &report)
+{
+    constexpr std::size_t Gangs = 100;
+    faults::gang_site site(1, members, designOptions());
+    gang_coordinator_hooks hooks;
+    hooks.send = [](const process_id &, const gang_message &) {};
+    gang_coordinator coordinator(process_id("entry-0"), site.options, site.clock.hooks(),
+                                 std::move(hooks));
+    const double heap = heapBytes();
+    for (std::size_t gang = 0; gang < Gangs; ++gang) {
+        const auto placement = site.placementOf(jobName(gang), 1, members);
+        if (const auto started = coordinator.start(placement); !started)
+            throw std::runtime_error(started.error().message);
+    }
+    report({"heap_bytes_of_coordinator_per_gang", members, (heapBytes() - heap) / Gangs, true});
+}
+
 void measure(std::size_t /*maxSize*/, const report_hook &report)
 {
-    for (const std::size_t members : {2, 8, 64, 512})
+    for (const std::size_t members : {2, 8, 64, 512}) {
         measureSize(members, report);
+        measureCoordinator(members, report);
+    }
     for (const std::size_t members : {2, 8, 22})
         measureManyGangs(members, report);
 }
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that the build, the checks and the demo need, if any is missing.
 set -euo pipefail
 packages=(
-  g++ clang clang-format clang-tidy cmake ninja-build ccache curl make
+  g++ clang clang-format clang-tidy cmake ninja-build ccache curl make python3
   libabsl-dev libcereal-dev libboost-dev libmicrohttpd-dev libcurl4-openssl-dev libcxxopts-dev
   liblog4cplus-dev libexpected-dev libprotobuf-dev nlohmann-json3-dev libxxhash-dev libgtest-dev
   libgmock-dev libbenchmark-dev librapidcheck-dev
--- a/scripts/render-capacity.py
+++ b/scripts/render-capacity.py
@@ -114,10 +114,8 @@
         running = f.between("gang", f"{what}_of_coordinator_per_gang_per_second", members)
         start = f.between("gang", f"{what}_of_coordinator_per_start", members)
         return running * gangs + start * starts_per_second
-    # The coordinator's share of the memory is not measured apart; all parties together bound it.
     return Load(load("messages"), load("bytes"), 0.0,
-                f.between("gang", "heap_bytes_of_all_parties_per_member", members) * members
-                * gangs)
+                f.between("gang", "heap_bytes_of_coordinator_per_gang", members) * gangs)
 
 
 def journal_bytes_per_day(f, members):
@@ -179,7 +177,7 @@
 def roles(f):
     running = JOBS_PER_DAY * RUN_HOURS / 24
     members = TASKS / running
-    yield "| Role | Part | messages/s | bytes/s | % of a core | MB |"
+    yield "| Role | Mechanism | messages/s | bytes/s | % of a core | MB |"
     yield "|---|---|---|---|---|---|"
     common = [("membership", membership(f)), ("configuration", configuration(f))]
     yield from role_rows(f, "agent", common + [
@@ -218,35 +216,60 @@
            f"{number(snapshot_bytes(f, running) / 1e6)} MB.")
 
 
+def listed(f, part, measure):
+    """All measured points of a slope as text."""
+    return "; ".join(f"{size:,}: {number(line['value'])}"
+                     for size, line in sorted(f.points[part, measure].items()))
+
+
 def bends(f):
-    """Largest sizes at which single figures stay within the budget of bytes."""
-    frame = f.at("transport", "bytes_of_frame_around_payload", 100) + IP_UDP_BYTES
+    """Sizes at which single mechanisms leave the budget, the first one first."""
+    frame = f.at("transport", "bytes_of_frame_around_payload", 100)
+    codec = f.at("transport", "microseconds_to_encode_and_decode_frame", 100) * 1e-6
     members = TASKS / (JOBS_PER_DAY * RUN_HOURS / 24)
-    one = coordinator(f, members, 1, 0).wire(frame - IP_UDP_BYTES)
-    yield (f"- One running gang costs its coordinator {number(one)} bytes/s: the budget of "
-           f"{BYTES_PER_SECOND:,} bytes/s holds {number(BYTES_PER_SECOND / one)} gangs of one "
-           "decider, before all else.")
-    base = sum(load.wire(frame - IP_UDP_BYTES) for load in (membership(f), configuration(f)))
-    task = gang_members(f, members, 1).wire(frame - IP_UDP_BYTES)
-    yield (f"- Membership and configuration cost each process {number(base)} bytes/s; a member of a "
-           f"gang costs its agent {number(task)} bytes/s on average, so that the budget of an agent "
-           f"holds {number(max(0, BYTES_PER_SECOND - base) / task)} members.")
+    gang = coordinator(f, members, 1, 0)
+    held = CORE_SHARE / (gang.framed * (codec + SOCKET_SECONDS))
+    yield (f"1. Coordinator. A running gang of {members:.0f} costs its coordinator "
+           f"{number(gang.wire(frame))} bytes/s in both directions, so that {BYTES_PER_SECOND:,} "
+           f"bytes/s hold {number(BYTES_PER_SECOND / gang.wire(frame))} gangs of one decider; "
+           f"{100 * CORE_SHARE:.1f}% of a core hold {number(held)}. A region has "
+           f"{JOBS_PER_DAY * RUN_HOURS / 24 / REGIONS:,.0f}.")
+    task = gang_members(f, members, 1).wire(frame)
+    base = sum(load.wire(frame) for load in (membership(f), configuration(f)))
+    yield (f"2. Agent. Membership and configuration cost each process {number(base)} bytes/s, and a "
+           f"member of a gang costs its agent {number(task)} bytes/s on average: the budget holds "
+           f"{number(max(0, BYTES_PER_SECOND - base) / task)} members; the design size has "
+           f"{TASKS / WORKERS:.1f}.")
     for size in sorted(f.points["gang", "bytes_of_worker_that_is_root_of_10_gangs_per_second"]):
         count = f.at("gang", "messages_of_worker_that_is_root_of_10_gangs_per_second", size)
         payload = f.at("gang", "bytes_of_worker_that_is_root_of_10_gangs_per_second", size)
-        yield (f"- A worker that is the root of 10 gangs of {size} sends and receives "
-               f"{number(count)} messages/s, {number(payload + count * frame)} bytes/s with frames.")
-    late = f.at("config", "seconds_until_all_have_change_at_10_percent_loss")
-    yield (f"- Configuration at 10% loss: the largest measured site had a change everywhere after "
-           f"{number(late)} s (target 6 s).")
+        yield (f"   - A worker that is the root of 10 gangs of {size} sends and receives "
+               f"{number(count)} messages/s, "
+               f"{number(payload + count * (frame + IP_UDP_BYTES))} bytes/s with frames.")
+    yield ("   - Messages sent per member and second: "
+           f"{listed(f, 'gang', 'messages_sent_per_member_per_second')}; of gang_renew: "
+           f"{listed(f, 'gang', 'gang_renew_of_all_parties_per_member_per_second')}. One renewal "
+           "per interval of 5 s would be 0.2.")
+    log = reader(f, members, JOBS_PER_DAY * RUN_HOURS / 24)
+    part = snapshot_bytes(f, JOBS_PER_DAY * RUN_HOURS / 24) / (SNAPSHOT_HOURS * 3600)
+    yield (f"3. Entry as a reader. Following the journal takes {number(log.payload)} bytes/s, of "
+           f"which {number(part)} are the parts of the hourly snapshot that every entry reads.")
+    yield ("4. Start of a large gang. Bytes sent and received by the coordinator: "
+           f"{listed(f, 'gang', 'bytes_of_coordinator_per_start')}. The plan of all members goes to "
+           "every member twice, so that this grows with the square of the gang.")
+    yield ("5. Membership. Bytes/s of a node in its own zone in the steady state: "
+           f"{listed(f, 'membership', 'steady_bytes_own_zone_per_node_per_second')}; to other zones "
+           "while all start together: "
+           f"{listed(f, 'membership', 'start_bytes_other_zones_per_node_per_second')}.")
+    yield ("6. Configuration. Seconds until all processes have a change at 10% loss (target 6 s): "
+           f"{listed(f, 'config', 'seconds_until_all_have_change_at_10_percent_loss')}.")
 
 
 def slopes(f):
     yield "| Part | Measure | size: value | clock |"
     yield "|---|---|---|---|"
     for (part, measure), values in f.points.items():
-        text = "; ".join(f"{size:,}: {number(line['value'])}"
-                         for size, line in sorted(values.items()))
+        text = listed(f, part, measure)
         clock = next(iter(values.values()))["clock"]
         clock = "this machine" if clock == "wall" else "virtual or counted"
         yield f"| {part} | {measure.replace('_', ' ')} | {text} | {clock} |"
