Exchange views early after the start and repeat the announcement after the join

Cause: a process that joined through another one that had just started took the incomplete answer for the whole view, and the first forwarding of its announcement had no receiver. With few members the whole view is never asked for again, and the next exchange came after 5 s to 15 s, mostly within the restarted zone. Change: exchanges after the start come at 1 s, doubling up to 10 s, with members of any zone during the rescan span; the announcement is forwarded again when the join is complete. Ruled out: lost messages (the cell has none) and digest collisions (the missing members were unknown).

--- a/faults/membership_cells.cpp
+++ b/faults/membership_cells.cpp
@@ -288,6 +288,17 @@
     return verdict(good, "processes of a restarted zone are not known to all");
 }
 
+/// Seeds under which restarted processes took the answers of others that had just started, and knew
+/// little, for the whole view.
+cell_result zoneRestartedThroughNewMembers(const cell_context &context)
+{
+    for (const std::uint64_t seed : {25, 63, 75, 84, 92, 123, 141, 145, 160, 162}) {
+        if (cell_result found = zoneRestarted({seed, context.mechanismOff}); !found.passed)
+            return {false, found.detail + " seed=" + std::to_string(seed)};
+    }
+    return {true, ""};
+}
+
 cell_result lossyRun(const cell_context &context, std::size_t agents, absl::Duration span)
 {
     site one(context, &membership_mechanisms::refutation, agents);
@@ -437,6 +448,8 @@
         {"detection", "paused", "reported", pausedReport, "pause check"},
         {"detection", "restarted", "after-leaving", restarted, "incarnation check"},
         {"detection", "zone-restarted", "any", zoneRestarted, "incarnation check"},
+        {"detection", "zone-restarted", "joined-through-new-members",
+         zoneRestartedThroughNewMembers, "incarnation check"},
         {"detection", "loss-10-percent", "11-members",
          [](const auto &context) { return lossyRun(context, Agents - Entries, absl::Hours(1)); },
          "refutation"},
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -30,7 +30,8 @@
     }
     if (nextView <= now()) {
         // Jitter of half the interval keeps processes started together apart.
-        nextView = now() + settings.viewInterval * (0.5 + static_cast<double>(below(1000)) / 1000);
+        nextView = now() + viewDelay * (0.5 + static_cast<double>(below(1000)) / 1000);
+        viewDelay = std::min(viewDelay * 2, settings.viewInterval);
         exchangeView();
     }
     if (nextDeadRetry <= now()) {
@@ -210,7 +211,10 @@
     s.lastTick = s.nextJoin = s.now();
     s.rescanUntil = s.now() + s.settings.rescanSpan;
     s.nextPeriod = s.now() + s.settings.period * (static_cast<double>(s.below(1000)) / 1000);
-    s.nextView = s.now() + s.settings.viewInterval * 0.5;
+    // The members asked for the whole view may themselves have just started, so that their answers
+    // are incomplete. Early exchanges of digests bring what is missing.
+    s.viewDelay = s.settings.catchUpInterval;
+    s.nextView = s.now() + s.viewDelay;
     s.nextDeadRetry = s.now() + s.settings.deadRetryInterval;
     s.disseminate(s.self, true);
     return {};
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -67,6 +67,7 @@
     absl::Time lastTick;
     absl::Time nextPeriod;
     absl::Time nextView;
+    absl::Duration viewDelay; ///< between exchanges; doubles after the start up to viewInterval
     absl::Time nextDeadRetry;
     absl::Time forwardAt = absl::InfiniteFuture();
     absl::Time lastForward = absl::InfinitePast();
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -14,7 +14,9 @@
 
 void membership::state::exchangeView()
 {
-    const bool local = below(100) >= settings.remoteProbePercent;
+    // The own zone may have restarted as a whole; the other zones then hold the complete view.
+    const bool fresh = now() < rescanUntil;
+    const bool local = !fresh && below(100) >= settings.remoteProbePercent;
     const member_entry *to = local ? choose(table.inZone(self.announcement->self.zone)) : nullptr;
     if (to == nullptr)
         to = chooseAny();
@@ -119,6 +121,9 @@
     joinSequence = 0;
     nextJoin
         = joinBucket < ViewBuckets ? now() + settings.joinInterval / 4 : absl::InfiniteFuture();
+    // At the start nobody was known to whom the own announcement could be forwarded.
+    if (joinBucket == ViewBuckets)
+        disseminate(self, true);
 }
 
 } // namespace hyssoppond
