--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 CMAKE = cmake -G Ninja -DCMAKE_EXPORT_COMPILE_COMMANDS=ON
 
-.PHONY: all deps build clang asan tsan check check-asan check-tsan format lint test demo bench faults capacity proto summary clean
+.PHONY: all deps build clang asan tsan check check-asan check-tsan format lint test demo bench faults faults-processes capacity proto summary clean
 
 all: build
 
@@ -56,6 +56,10 @@
 faults: build
 	@$(BUILD)/hyssoppond-faults
 
+# Fault cells with real processes on loopback.
+faults-processes: build
+	@scripts/process-faults.sh $(BUILD)
+
 capacity: build
 	@$(BUILD)/hyssoppond-capacity
 
