Read the job id from the bare job that submit prints

Cause: submit prints the job itself as JSON; the cells looked for it in a field named job. Change: the cells take the first job id of the answer. Measurement: bash -n only; no cell has run yet.

--- a/scripts/process-cells.sh
+++ b/scripts/process-cells.sh
@@ -19,7 +19,7 @@
   # shellcheck disable=SC2086 # the command is split into words
   out=$(ctl_at "$entry" --output json submit --team south --members "$members" --accelerators 8 \
     --within rack --request-id "$id" "$@" -- $command) || { wrong "submission: $out"; return; }
-  job=$(sed -n 's/.*"job":{"id":"\([^"]*\)".*/\1/p' <<<"$out")
+  job=$(grep -o 'j-[0-9a-f]*' <<<"$out" | head -n 1)
   [ -n "$job" ] || wrong "no job id in $out"
 }
 
@@ -274,7 +274,7 @@
   log_faults '{"down":true}'
   from=$(now_micros)
   out=$(urgent_submit) || code=$?
-  job=$(sed -n 's/.*"job":{"id":"\([^"]*\)".*/\1/p' <<<"$out")
+  job=$(grep -o 'j-[0-9a-f]*' <<<"$out" | head -n 1)
   if [ "$code" -ne 0 ] || [ -z "$job" ]; then
     wrong "submission during the outage: exit $code, $out"
   elif ! wait_until 60 tasks_started "$job" 2; then
