Tell 'unknown' after a lost answer even when the repetition cannot connect

Change: rpc_client remembers that an earlier request may have run; wait asks for 5 s at most. Ruled out: no repetition at all, because the request ids make it harmless.

--- a/src/rpc/rpc_client.cpp
+++ b/src/rpc/rpc_client.cpp
@@ -137,6 +137,7 @@
         return fail(reason::InvalidArgument, "no entry is known; give --entry HOST:PORT");
     std::size_t next = absl::Uniform<std::size_t>(client.random, 0, count);
     absl::Duration backoff = FirstBackoff;
+    bool mayHaveRun = false;
     for (std::size_t tried = 1;; ++tried) {
         // A share of the time for each entry, so that one silent entry does not use all of it.
         const absl::Time now = absl::Now();
@@ -158,6 +159,10 @@
         } else {
             problem = got.error();
         }
+        // A later failure to connect proves nothing about an earlier request that was sent.
+        mayHaveRun = mayHaveRun || problem.state == execution::Unknown;
+        if (mayHaveRun && problem.state == execution::NotRun)
+            problem.state = execution::Unknown;
         const bool safe = problem.state == execution::NotRun || mayRepeat == repetition::Allowed;
         const bool retryable = problem.retryAt != absl::InfiniteFuture();
         const absl::Duration jitter
--- a/src/tool/job_commands.cpp
+++ b/src/tool/job_commands.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 /// One Wait request is bounded, so that a silent connection is noticed.
-constexpr absl::Duration LongestWait = absl::Seconds(10);
+constexpr absl::Duration LongestWait = absl::Seconds(5);
 /// An entry that did not accept the job itself learns of it from the journal a moment later.
 constexpr absl::Duration JournalLag = absl::Seconds(5);
 constexpr absl::Duration AskAgain = absl::Milliseconds(200);
@@ -174,12 +174,11 @@
         const absl::Duration left = std::min(deadline - absl::Now(), LongestWait);
         v1::WaitRequest request;
         request.set_job_id(job);
-        request.set_timeout_ms(
-            std::max<std::int64_t>(1, absl::ToInt64Milliseconds(left - absl::Seconds(2))));
+        request.set_timeout_ms(std::max<std::int64_t>(1, absl::ToInt64Milliseconds(left)));
         v1::Job answer;
         const auto done
             = context->client->call("/hyssoppond.v1.Jobs/Wait", request, &answer,
-                                    absl::Now() + left + absl::Seconds(5), repetition::Allowed);
+                                    absl::Now() + left + absl::Seconds(10), repetition::Allowed);
         if (!done && done.error().why == reason::UnknownJob && absl::Now() < knownBy) {
             absl::SleepFor(AskAgain);
             continue;
--- a/tests/rpc_test.cpp
+++ b/tests/rpc_test.cpp
@@ -9,6 +9,9 @@
 #include <curl/curl.h>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <random>
 #include <thread>
@@ -180,6 +183,35 @@
     EXPECT_THAT(*rpc.get("/metrics", in(10)), testing::HasSubstr("hyssoppond_reason_total"));
 }
 
+// Guards against "not run" for a request that was sent, because its repetition could not connect.
+TEST(RpcClientTest, TellsUnknownAfterALostAnswer)
+{
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in where {};
+    where.sin_family = AF_INET;
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof where;
+    ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr *>(&where), size), 0);
+    ASSERT_EQ(listen(listener, 1), 0);
+    ASSERT_EQ(getsockname(listener, reinterpret_cast<sockaddr *>(&where), &size), 0);
+    std::thread server([listener] {
+        const int connection = accept(listener, nullptr, nullptr);
+        char request[64];
+        EXPECT_GT(recv(connection, request, sizeof request, 0), 0);
+        close(listener);
+        close(connection);
+    });
+    rpc_client_options options;
+    options.entries = {{"127.0.0.1", ntohs(where.sin_port)}};
+    rpc_client rpc(options);
+    v1::SubmitResponse response;
+    const auto lost = rpc.call("/hyssoppond.v1.Jobs/Submit", v1::SubmitRequest(), &response, in(2),
+                               repetition::Allowed);
+    server.join();
+    ASSERT_FALSE(lost);
+    EXPECT_EQ(lost.error().state, execution::Unknown);
+}
+
 // Guards against a shutdown that cuts a request in flight.
 TEST(RpcServerTest, StopWaitsForRequestsInFlight)
 {
