--- a/src/journal/sealed_archive_func.h
+++ b/include/hyssoppond/base/sealed_archive_func.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <string_view>
 
-namespace hyssoppond::journal {
+namespace hyssoppond {
 
 constexpr std::size_t SealBytes = 1 + sizeof(std::uint64_t);
 
@@ -62,4 +62,4 @@
     }
 }
 
-} // namespace hyssoppond::journal
+} // namespace hyssoppond
--- /dev/null
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -0,0 +1,142 @@
+/// @file The agent's part of batch jobs: carries the journal's orders out on its worker.
+#pragma once
+
+#include "hyssoppond/batch/batch_record_type.h"
+#include "hyssoppond/batch/item_worker_port.h"
+#include "hyssoppond/batch/log_follower_base.h"
+#include "hyssoppond/batch/log_writer_base.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace hyssoppond::batch {
+
+struct batch_agent_options
+{
+    process_id agent;
+    incarnation_number incarnation = 0;
+    std::string journalTopic = "keyed.journal";
+    std::string beatTopic = "beats";
+    std::int64_t longestLeaseMs = 6'000; ///< of the worker
+    absl::Duration gangTimeout = absl::Seconds(3); ///< a member waits so long for the others
+};
+
+/// State machine without I/O. It keeps no state that a restart needs: orders come from the
+/// journal and runs from the worker's own list.
+class batch_agent
+{
+public:
+    batch_agent(batch_agent_options options, store_port *store, item_worker_port *worker,
+                loop_hooks hooks);
+
+    /// A heartbeat of the worker.
+    void onHeartbeat(const worker_description &worker);
+    /// The worker says that it ends.
+    void onWorkerLeft(const std::string &worker);
+
+    void tick();
+    absl::Time nextDeadline() const;
+
+    /// Extends the lease as far as allowed before the process ends.
+    void prepareStop();
+
+    /// For logs: one line per decision, with name, item and detail.
+    std::function<void(const char *decision, const std::string &item, const std::string &detail)>
+        onDecision;
+
+    std::size_t runs() const { return m_runs.size(); }
+
+private:
+    enum class phase : std::uint8_t {
+        Ordered,  ///< not sent to the worker, or not known to be there
+        Starting, ///< a start is in flight
+        Running,
+        Reported, ///< its end is queued for the journal
+    };
+
+    struct local_run
+    {
+        std::string payload;
+        std::string checkpoint;
+        unix_ms orderedMs = 0;
+        unix_ms bornMs = 0; ///< life of the worker that the order is for
+        bool gang = false;
+        bool unwanted = false; ///< to be stopped
+        bool stopSent = false;
+        bool uncertain = false; ///< a start got no answer
+        phase state = phase::Ordered;
+        int percent = 0;
+        absl::Time progressAt;
+        std::uint32_t sends = 0;
+    };
+
+    /// Orders for earlier lives of the worker are void.
+    void dropEarlierLives();
+    bool isCurrent(const local_run &run) const;
+    void decided(const char *decision, const std::string &item, const std::string &detail) const;
+
+    // Journal.
+    void onLoaded(const std::vector<stored_record> &records);
+    void onRecords(const std::vector<stored_record> &records);
+    void applyRecord(const stored_record &stored);
+    void onOrdered(const run_ordered &ordered);
+    void endLocally(const item_run &run);
+    void markUnwanted(const job_id &job);
+    void announce();
+    void beat();
+
+    // Runs.
+    void startDue();
+    void start(const item_run &id);
+    void onStarted(const item_run &id, std::uint64_t token, const order_answer &answer);
+    void stopDue();
+    void stop(const item_run &id);
+    void report(std::vector<run_ended> ends, std::uint64_t acknowledge);
+    run_ended endOf(const item_run &id, run_end how, const std::string &checkpoint) const;
+    void reportNotStarted(const item_run &id, const char *why);
+
+    // Lease and lists.
+    bool wantsLook() const;
+    void look();
+    void onLook(const look_answer &answer, std::uint64_t token, absl::Time sentAt);
+    void noteClock(const std::optional<std::int64_t> &clockMs);
+    std::optional<std::int64_t> leaseUntilMs() const;
+    std::uint64_t token() const;
+    void supersedeOrders();
+    item_run ownRun(const item_run &listed) const;
+
+    batch_agent_options m_options;
+    store_port *m_store;
+    item_worker_port *m_worker;
+    loop_hooks m_hooks;
+    log_follower m_follower;
+    log_writer m_writer;
+
+    std::optional<worker_description> m_description;
+    bool m_announceDue = false;
+    bool m_announcing = false;
+    std::optional<std::uint64_t> m_announcedAt; ///< offset of the record for this life
+    std::uint64_t m_tokenStep = 0;
+    bool m_evicted = false;
+    absl::Time m_beatAt = absl::InfinitePast();
+
+    std::map<item_run, local_run> m_runs;
+    std::set<item_run> m_ended;   ///< with a record in the journal
+    std::set<job_id> m_overJobs;
+    std::set<std::pair<unit_id, std::uint32_t>> m_stoppingRuns;
+
+    bool m_synced = false; ///< the worker's lists were read in its present life
+    bool m_looking = false;
+    bool m_lookFresh = false;
+    absl::Time m_lookAt = absl::InfinitePast();
+    absl::Time m_lastLookAt = absl::InfinitePast();
+    std::uint64_t m_acknowledged = 0;
+    std::uint32_t m_reporting = 0;
+    std::optional<std::int64_t> m_clockMs;
+    absl::Time m_clockReadAt;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace hyssoppond::batch
--- /dev/null
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -0,0 +1,130 @@
+/// @file The entry's part of batch jobs: calls of callers, over the journal and the configuration.
+#pragma once
+
+#include "hyssoppond/base/error_type.h"
+#include "hyssoppond/batch/batch_decider_base.h"
+
+#include <optional>
+#include <string>
+
+namespace hyssoppond::batch {
+
+struct batch_entry_options
+{
+    process_id entry;
+    incarnation_number incarnation = 0;
+    std::string journalTopic = "keyed.journal";
+    std::string configTopic;
+    absl::Duration keysValidFor = absl::Seconds(5); ///< without a proof that they are in force
+    scheduler_options scheduler;
+};
+
+enum class call_kind : std::uint8_t { Submit, Status, Cancel, Pending };
+
+/// A caller's call.
+struct job_call
+{
+    call_kind kind = call_kind::Status;
+    std::string host;
+    std::string path;
+    std::string key;                ///< empty: none was sent
+    std::optional<batch_job> job;   ///< of a submission; id, queue and team are set here
+    std::string problem;            ///< why `job` could not be read
+    absl::Time deadline;            ///< until which the caller waits, on the steady clock
+};
+
+/// What the caller is told.
+enum class reply_kind : std::uint8_t {
+    Accepted,
+    Status,
+    Pending,
+    Cancelled,
+    Malformed,   ///< the call can never succeed
+    Unauthorized,
+    NoQueue,
+    NoJob,
+    Refused,     ///< nothing was done; `retryAfter` says when to come back
+    Unknown,     ///< it may have been done; the same call may be repeated
+};
+
+inline constexpr name_table<reply_kind, 10> ReplyKindNames {
+    {"Accepted", "Status", "Pending", "Cancelled", "Malformed", "Unauthorized", "NoQueue", "NoJob",
+     "Refused", "Unknown"}};
+
+struct job_reply
+{
+    reply_kind kind = reply_kind::Refused;
+    job_status status = job_status::Queued; ///< for Status
+    std::size_t pending = 0;                ///< for Pending
+    reason why = reason::None;
+    std::string message;                                    ///< for the other kinds
+    absl::Duration retryAfter = absl::ZeroDuration(); ///< for Refused
+};
+
+/// State machine without I/O.
+class batch_entry
+{
+public:
+    using responder = std::function<void(job_reply)>;
+
+    batch_entry(batch_entry_options options, store_port *store, loop_hooks hooks);
+
+    /// Reads the configuration out of a record of the configuration topic, if it holds one.
+    std::function<std::optional<site_config>(const stored_record &)> decodeConfig;
+    /// For logs, as in batch_agent.
+    std::function<void(const char *decision, const std::string &item, const std::string &detail)>
+        onDecision;
+
+    void handle(job_call call, responder respond);
+    /// New connections are welcome.
+    bool isReady() const;
+
+    void tick();
+    absl::Time nextDeadline() const;
+    /// The process is about to end: hands the right to decide over.
+    void leave();
+
+    const batch_state &state() const { return m_state; }
+    const site_config *config() const { return m_config ? &*m_config : nullptr; }
+    bool isDeciding() const { return m_decider.isDeciding(); }
+
+private:
+    struct routed_call
+    {
+        const queue_policy *queue = nullptr;
+        std::string id;
+        team_id team;
+    };
+
+    void decided(const char *decision, const std::string &item, const std::string &detail) const;
+    void applyConfig(const std::vector<stored_record> &records);
+    void applyJournal(const std::vector<stored_record> &records);
+    result<routed_call> route(const job_call &call) const;
+    static job_reply replyOf(const error &problem);
+    job_reply refusal(reason why, std::string message) const;
+    void submit(const routed_call &target, job_call call, const responder &respond);
+    void status(const routed_call &target, const job_call &call, const responder &respond);
+    void cancel(const routed_call &target, const job_call &call, const responder &respond);
+    void pending(const routed_call &target, const responder &respond) const;
+    /// Calls `found` with the job; answers itself if there is none or that cannot be told.
+    void withJob(const routed_call &target, absl::Time deadline, const responder &respond,
+                 const std::function<void(const job_state &)> &found);
+    absl::Duration retryAfter() const;
+
+    batch_entry_options m_options;
+    store_port *m_store;
+    loop_hooks m_hooks;
+    batch_state m_state;
+    std::optional<site_config> m_config;
+    log_follower m_configFollower;
+    log_follower m_journal;
+    log_writer m_writer;
+    batch_decider m_decider;
+    bool m_leaving = false;
+    absl::Time m_storeLostAt = absl::InfiniteFuture();
+};
+
+/// Checks a submission. Errors: InvalidArgument, with the remedy.
+result<void> checkJob(const batch_job &job);
+
+} // namespace hyssoppond::batch
--- /dev/null
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -0,0 +1,177 @@
+/// @file Records of the batch journal. Each has a key; the store keeps the newest of each key.
+#pragma once
+
+#include "hyssoppond/base/error_type.h"
+#include "hyssoppond/batch/batch_type.h"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace hyssoppond::batch {
+
+/// An entry accepted a job. Repetitions of the same id have no effect.
+struct job_submitted
+{
+    batch_job job;
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(job);
+    }
+};
+
+/// A caller cancelled a job.
+struct job_cancelled
+{
+    job_id job;
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(job);
+    }
+};
+
+/// The decider gave a job up, because an item used all its attempts.
+struct job_failed
+{
+    job_id job;
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(job);
+    }
+};
+
+/// Where one item of a run is to run.
+struct run_member
+{
+    std::uint32_t index = 0; ///< of the item in its step
+    process_id agent;
+    unix_ms bornMs = 0; ///< life of the agent's worker that the order is for
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(index, agent, bornMs);
+    }
+};
+
+/// The decider orders a unit to run.
+struct run_ordered
+{
+    unit_id unit;
+    std::uint32_t run = 0; ///< counts the runs of the unit from 1
+    bool gang = false;
+    std::vector<run_member> members;
+    std::string payload;
+    std::string checkpoint;
+    unix_ms orderedMs = 0;
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(unit, run, gang, members, payload, checkpoint, orderedMs);
+    }
+};
+
+/// The decider orders all members of a run to stop.
+struct run_stopping
+{
+    unit_id unit;
+    std::uint32_t run = 0;
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(unit, run);
+    }
+};
+
+/// The run of one item has ended, by its agent or, if that one is gone, by the decider.
+struct run_ended
+{
+    unit_id unit;
+    std::uint32_t run = 0;
+    std::uint32_t member = 0; ///< index of the item in its step
+    process_id agent;         ///< that ran it
+    run_end how = run_end::Lost;
+    std::string checkpoint;
+    bool byDecider = false;
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(unit, run, member, agent, how, checkpoint, byDecider);
+    }
+};
+
+/// An agent started, or its worker restarted, started to drain or left.
+struct agent_announced
+{
+    process_id agent;
+    incarnation_number incarnation = 0; ///< of the agent's process
+    bool hasWorker = false;             ///< false: the worker has left or is not known yet
+    worker_description worker;
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(agent, incarnation, hasWorker, worker);
+    }
+};
+
+/// The decider gives the runs of a silent agent away, or takes that back.
+struct agent_evicted
+{
+    process_id agent;
+    bool evicted = false;
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(agent, evicted);
+    }
+};
+
+/// An entry takes the right to decide. Appends of earlier epochs are fenced by the store.
+struct decider_granted
+{
+    process_id entry;
+    epoch_number epoch = 0;
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(entry, epoch);
+    }
+};
+
+using batch_record
+    = std::variant<job_submitted, job_cancelled, job_failed, run_ordered, run_stopping, run_ended,
+                   agent_announced, agent_evicted, decider_granted>;
+
+/// Key under which the store keeps `record`, at most 255 bytes.
+std::string keyOf(const batch_record &record);
+
+std::string encodeRecord(const batch_record &record);
+/// Errors: those of unseal.
+result<batch_record> decodeRecord(std::string_view bytes);
+
+/// An agent is alive; kept apart from the journal and read by the decider only.
+struct agent_beat
+{
+    process_id agent;
+    unix_ms bornMs = 0; ///< life of its worker
+    std::vector<std::pair<std::string, std::uint32_t>> stalled; ///< runs without progress, in ms
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(agent, bornMs, stalled);
+    }
+};
+
+std::string encodeBeat(const agent_beat &beat);
+/// Errors: those of unseal.
+result<agent_beat> decodeBeat(std::string_view bytes);
+
+} // namespace hyssoppond::batch
--- /dev/null
+++ b/include/hyssoppond/batch/batch_type.h
@@ -0,0 +1,218 @@
+/// @file Value types of batch jobs: steps of items that need processors, memory and accelerators.
+#pragma once
+
+#include "hyssoppond/base/id_type.h"
+#include "hyssoppond/base/name_table_type.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hyssoppond::batch {
+
+/// Milliseconds since 1970 by the time of day, as they cross the wire and the journal.
+using unix_ms = std::int64_t;
+
+/// What one item needs, or one worker has.
+struct resources
+{
+    std::int64_t cpuMilli = 0; ///< thousandths of a core
+    std::int64_t memoryMb = 0;
+    std::int64_t accelerators = 0;
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(cpuMilli, memoryMb, accelerators);
+    }
+
+    bool operator==(const resources &) const = default;
+};
+
+/// True if `room` holds `need`.
+inline bool fits(const resources &room, const resources &need)
+{
+    return room.cpuMilli >= need.cpuMilli && room.memoryMb >= need.memoryMb
+        && room.accelerators >= need.accelerators;
+}
+
+inline resources &operator+=(resources &left, const resources &right)
+{
+    left.cpuMilli += right.cpuMilli;
+    left.memoryMb += right.memoryMb;
+    left.accelerators += right.accelerators;
+    return left;
+}
+
+inline resources &operator-=(resources &left, const resources &right)
+{
+    left.cpuMilli -= right.cpuMilli;
+    left.memoryMb -= right.memoryMb;
+    left.accelerators -= right.accelerators;
+    return left;
+}
+
+/// Cores that one accelerator counts for when work is weighed.
+inline constexpr std::int64_t CoresPerAccelerator = 8; // the users' rule for wasted work
+
+/// Weight of `need` in cores.
+inline double weightOf(const resources &need)
+{
+    return static_cast<double>(need.cpuMilli) / 1000.0
+        + static_cast<double>(CoresPerAccelerator * need.accelerators);
+}
+
+/// A step: `count` items of the same shape.
+struct batch_step
+{
+    std::uint32_t count = 0;
+    resources item;
+    std::uint32_t estimateMs = 0; ///< declared duration of one item; often far off
+    std::vector<std::uint32_t> dependsOn; ///< steps that must be done first
+    bool gang = false;                    ///< all items run together or none does
+    bool sameRack = false;                ///< slower by the remote factor across racks
+    bool checkpointed = false;            ///< saves its progress while it runs
+    bool speculative = false;             ///< copies of one item may run in parallel
+    bool longRunning = false;             ///< runs until cancelled and is always restarted
+    bool fills = false;                   ///< uses processor time that others leave idle
+    std::string requiredLabel;            ///< label that the worker must have; empty: any
+    std::string dataRack;                 ///< rack of the data; slower elsewhere; empty: none
+    std::uint32_t maxPerWorker = 0;       ///< items of this step on one worker; 0: no limit
+    std::uint32_t mayMiss = 0;            ///< items that may be away at once
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(count, item, estimateMs, dependsOn, gang, sameRack, checkpointed, speculative,
+           longRunning, fills, requiredLabel, dataRack, maxPerWorker, mayMiss);
+    }
+};
+
+/// A job as it was submitted.
+struct batch_job
+{
+    job_id id;
+    std::string queue;   ///< name of the queue that took it
+    team_id team;        ///< empty if the queue is public
+    std::string payload; ///< opaque text handed to the workers
+    std::vector<batch_step> steps;
+    std::uint32_t repeats = 0;   ///< occurrences of a scheduled job; 0: one, due at once
+    unix_ms firstRunMs = 0;      ///< due time of occurrence 0
+    std::int64_t intervalMs = 0; ///< between the due times of two occurrences
+    unix_ms submittedMs = 0;     ///< when an entry accepted it
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(id, queue, team, payload, steps, repeats, firstRunMs, intervalMs, submittedMs);
+    }
+
+    std::uint32_t occurrences() const { return repeats == 0 ? 1 : repeats; }
+    unix_ms dueMs(std::uint32_t occurrence) const
+    {
+        return repeats == 0 ? submittedMs : firstRunMs + intervalMs * occurrence;
+    }
+};
+
+/// The smallest thing that is started at once: an item, or all items of a gang step.
+struct unit_id
+{
+    job_id job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0; ///< of the item; 0 for a gang
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(job, occurrence, step, index);
+    }
+
+    auto operator<=>(const unit_id &) const = default;
+};
+
+/// Text form, as in keys and logs: JOB.OCCURRENCE.STEP.INDEX.
+std::string toString(const unit_id &unit);
+
+/// How a run of one item ended.
+enum class run_end : std::uint8_t {
+    Done,
+    Failed,     ///< through its own fault or the worker's
+    Stopped,    ///< on our order
+    Lapsed,     ///< its lease ran out
+    Broken,     ///< another member of the gang ended
+    Alone,      ///< the other members did not arrive in time
+    NotStarted, ///< the worker refused it, and it will not start
+    Lost,       ///< the worker is gone or has restarted
+};
+
+inline constexpr name_table<run_end, 8> RunEndNames {
+    {"Done", "Failed", "Stopped", "Lapsed", "Broken", "Alone", "NotStarted", "Lost"}};
+
+/// What callers are told about a job.
+enum class job_status : std::uint8_t { Queued, Running, Completed, Failed, Cancelled };
+
+/// A queue that callers submit to.
+struct queue_policy
+{
+    std::string name;
+    std::string host;
+    std::string pathPrefix;
+    std::string service; ///< whose workers run its items
+    int priority = 0;    ///< 0 comes first and may preempt others
+    std::uint32_t maxAttempts = 1;
+    double stretch = 1.0;          ///< objective, as a multiple of the longest chain of work
+    std::int64_t latencyGoalMs = 0; ///< added to the objective
+    bool isPublic = false;          ///< needs no key
+    bool needsAdvice = false;       ///< starts need a ticket of the advice service
+};
+
+/// A team and its rights.
+struct batch_team
+{
+    team_id id;
+    std::vector<std::string> keys;
+    std::int64_t guaranteedAccelerators = 0;
+};
+
+/// A service: a pool of workers.
+struct batch_service
+{
+    std::string name;
+    bool workersRefuse = true; ///< its workers refuse what does not fit
+};
+
+/// The operator's configuration.
+struct site_config
+{
+    std::uint64_t version = 0;
+    std::vector<queue_policy> queues;
+    std::vector<batch_service> services;
+    std::vector<batch_team> teams;
+
+    const queue_policy *findQueue(const std::string &name) const;
+    const batch_team *findTeam(const team_id &id) const;
+};
+
+/// What an agent says about the worker that it serves.
+struct worker_description
+{
+    std::string worker;     ///< identifies one life of the worker together with `bornMs`
+    unix_ms bornMs = 0;     ///< start of this life
+    std::string service;
+    std::string zone;
+    std::string kind;
+    std::string rack;
+    std::vector<std::string> labels;
+    resources capacity;
+    bool draining = false;
+    unix_ms leavesAtMs = 0; ///< while draining: not before this time; 0 if unknown
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(worker, bornMs, service, zone, kind, rack, labels, capacity, draining, leavesAtMs);
+    }
+};
+
+} // namespace hyssoppond::batch
--- /dev/null
+++ b/include/hyssoppond/batch/item_worker_port.h
@@ -0,0 +1,106 @@
+/// @file Interface to a worker that runs items under leases.
+#pragma once
+
+#include "hyssoppond/batch/batch_type.h"
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hyssoppond::batch {
+
+/// Names the run of one item towards the worker.
+struct item_run
+{
+    unit_id unit;             ///< of a gang: the gang
+    std::uint32_t member = 0; ///< index of the item in its step
+    std::uint32_t run = 0;
+
+    auto operator<=>(const item_run &) const = default;
+};
+
+/// What is known after an order.
+enum class order_outcome : std::uint8_t {
+    Done,
+    StaleToken,  ///< the worker has seen a higher fencing token
+    OldRun,      ///< a run that is not lower has ended or was stopped there
+    LeaseOver,   ///< the lease of the order has run out already
+    NoRoom,
+    Unhealthy,   ///< the worker did nothing
+    OtherLife,   ///< the worker has restarted; nothing was done
+    Rejected,    ///< the worker does not accept such an order
+    NoAnswer,    ///< it may have been carried out or may still be, seconds later
+};
+
+struct start_order
+{
+    item_run run;
+    std::string payload;
+    std::string checkpoint;
+    std::int64_t leaseUntilMs = 0; ///< on the worker's clock; for all that runs there
+    std::uint64_t fencingToken = 0;
+    std::string worker; ///< intended life
+    absl::Time deadline;
+};
+
+struct stop_order
+{
+    item_run run;
+    std::uint64_t fencingToken = 0;
+    std::string worker;
+    absl::Time deadline;
+};
+
+struct order_answer
+{
+    order_outcome outcome = order_outcome::NoAnswer;
+    std::optional<std::int64_t> workerClockMs;
+};
+
+struct look_order
+{
+    std::optional<std::int64_t> leaseUntilMs;
+    std::uint64_t fencingToken = 0;
+    std::uint64_t lastSeenEnd = 0; ///< ends up to this number are forgotten by the worker
+    absl::Duration wait;           ///< the worker may wait so long for an end
+    std::string worker;
+    absl::Time deadline;
+    bool freshConnection = false;
+};
+
+struct running_item
+{
+    item_run run;
+    std::string checkpoint;
+    int percent = 0;
+};
+
+struct ended_item
+{
+    std::uint64_t number = 0;
+    item_run run;
+    run_end how = run_end::Failed;
+    std::string checkpoint;
+};
+
+struct look_answer
+{
+    order_outcome outcome = order_outcome::NoAnswer;
+    std::optional<std::int64_t> workerClockMs;
+    std::vector<running_item> running;
+    std::vector<ended_item> ended;
+};
+
+/// The worker beside an agent. Completions run on the caller's thread, once per call. The unit of
+/// a run that comes back has the member's index, as the worker does not know gangs by name.
+struct item_worker_port
+{
+    std::function<void(start_order, std::function<void(order_answer)>)> start;
+    std::function<void(stop_order, std::function<void(order_answer)>)> stop;
+    std::function<void(look_order, std::function<void(look_answer)>)> look;
+};
+
+} // namespace hyssoppond::batch
--- /dev/null
+++ b/src/batch/batch_agent.cpp
@@ -0,0 +1,282 @@
+/// @file The agent and the journal: orders, announcements and beats.
+#include "hyssoppond/batch/batch_agent_base.h"
+#include "hyssoppond/batch/lease_rule_func.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace hyssoppond::batch {
+
+namespace {
+
+/// Between two beats; the decider takes an agent as silent after about three.
+constexpr absl::Duration BeatInterval = absl::Milliseconds(1000);
+
+/// A read of the journal proves for this long that nothing was missed; see ProofLifetime.
+constexpr absl::Duration JournalWait = absl::Milliseconds(1200);
+
+/// A leaving time is announced again when it changes by more than this.
+constexpr unix_ms LeavingToleranceMs = 1'000;
+
+/// Time for one answer of the store.
+constexpr absl::Duration StoreAnswer = absl::Milliseconds(1000);
+
+bool sameAnnouncement(const worker_description &a, const worker_description &b)
+{
+    return a.worker == b.worker && a.bornMs == b.bornMs && a.service == b.service
+        && a.rack == b.rack && a.kind == b.kind && a.labels == b.labels
+        && a.capacity == b.capacity && a.draining == b.draining
+        && std::abs(a.leavesAtMs - b.leavesAtMs) <= LeavingToleranceMs;
+}
+
+} // namespace
+
+batch_agent::batch_agent(batch_agent_options options, store_port *store, item_worker_port *worker,
+                         loop_hooks hooks)
+    : m_options(std::move(options))
+    , m_store(store)
+    , m_worker(worker)
+    , m_hooks(std::move(hooks))
+    , m_follower({m_options.journalTopic, JournalWait}, store, m_hooks)
+    , m_writer({m_options.journalTopic,
+                absl::StrCat(m_options.agent.str(), "/", m_options.incarnation)},
+               store, m_hooks)
+{
+    m_follower.onLoaded = [this](const auto &records) { onLoaded(records); };
+    m_follower.onRecords = [this](const auto &records) { onRecords(records); };
+    m_follower.onReachable = [this](bool reachable) {
+        decided(reachable ? "store regained" : "store lost", "", "");
+    };
+}
+
+void batch_agent::decided(const char *decision, const std::string &item,
+                          const std::string &detail) const
+{
+    if (onDecision)
+        onDecision(decision, item, detail);
+}
+
+void batch_agent::tick()
+{
+    m_follower.tick();
+    m_writer.tick();
+    if (m_announceDue && !m_announcing)
+        announce();
+    if (m_follower.isLoaded() && m_announcedAt) {
+        startDue();
+        stopDue();
+        if (m_hooks.now() >= m_beatAt)
+            beat();
+    }
+    if (wantsLook() && !m_looking && m_hooks.now() >= m_lookAt)
+        look();
+}
+
+absl::Time batch_agent::nextDeadline() const
+{
+    absl::Time next = std::min(m_follower.nextDeadline(), m_writer.nextDeadline());
+    if (m_announcedAt)
+        next = std::min(next, m_beatAt);
+    if (wantsLook() && !m_looking)
+        next = std::min(next, m_lookAt);
+    return next;
+}
+
+void batch_agent::onHeartbeat(const worker_description &worker)
+{
+    if (m_description && worker.bornMs < m_description->bornMs)
+        return; // sent by an earlier life and delayed
+    const bool newLife = !m_description || m_description->bornMs != worker.bornMs
+        || m_description->worker != worker.worker;
+    if (!newLife && sameAnnouncement(*m_description, worker))
+        return;
+    m_description = worker;
+    m_announceDue = true;
+    decided(newLife ? "worker found" : "worker changed", worker.worker,
+            worker.draining ? "draining" : "ready");
+    if (newLife) {
+        m_announcedAt.reset();
+        m_synced = false;
+        m_acknowledged = 0;
+        m_clockMs.reset();
+        dropEarlierLives();
+    }
+    tick();
+}
+
+void batch_agent::onWorkerLeft(const std::string &worker)
+{
+    if (!m_description || m_description->worker != worker)
+        return;
+    decided("worker left", worker, "");
+    m_description.reset();
+    m_announcedAt.reset();
+    m_runs.clear(); // everything that ran there has ended with it
+    m_announceDue = true;
+    tick();
+}
+
+void batch_agent::dropEarlierLives()
+{
+    std::erase_if(m_runs, [this](const auto &entry) {
+        return entry.second.bornMs < m_description->bornMs;
+    });
+}
+
+bool batch_agent::isCurrent(const local_run &run) const
+{
+    return m_description && run.bornMs == m_description->bornMs;
+}
+
+void batch_agent::announce()
+{
+    m_announceDue = false;
+    m_announcing = true;
+    agent_announced record;
+    record.agent = m_options.agent;
+    record.incarnation = m_options.incarnation;
+    record.hasWorker = m_description.has_value();
+    if (m_description)
+        record.worker = *m_description;
+    const batch_record content = record;
+    m_writer.write({{keyOf(content), encodeRecord(content), 0}}, absl::InfiniteFuture(),
+                   [this, record](write_result what, std::uint64_t offset) {
+                       m_announcing = false;
+                       if (what != write_result::Written) {
+                           m_announceDue = true;
+                           return;
+                       }
+                       const bool current = m_description && record.hasWorker
+                           && record.worker.bornMs == m_description->bornMs;
+                       if (current && !m_announcedAt) {
+                           m_announcedAt = offset;
+                           m_tokenStep = 0;
+                       }
+                   });
+}
+
+void batch_agent::beat()
+{
+    m_beatAt = m_hooks.now() + BeatInterval;
+    if (!m_description)
+        return;
+    agent_beat content;
+    content.agent = m_options.agent;
+    content.bornMs = m_description->bornMs;
+    append_request request;
+    request.topic = m_options.beatTopic;
+    request.records.push_back({"", encodeBeat(content), 0});
+    request.deadline = m_hooks.now() + StoreAnswer;
+    // A lost beat is replaced by the next one.
+    m_store->append(std::move(request), [](const append_answer &) {});
+}
+
+void batch_agent::onLoaded(const std::vector<stored_record> &records)
+{
+    m_ended.clear();
+    m_overJobs.clear();
+    m_stoppingRuns.clear();
+    m_evicted = false;
+    std::map<item_run, local_run> before;
+    before.swap(m_runs);
+    // Orders are rebuilt from the journal; what is known of their runs is kept.
+    for (const stored_record &one : records)
+        applyRecord(one);
+    for (auto &[id, run] : m_runs) {
+        const auto known = before.find(id);
+        if (known == before.end())
+            continue;
+        const bool unwanted = run.unwanted;
+        run = known->second;
+        run.unwanted = run.unwanted || unwanted;
+    }
+    decided("journal loaded", "", absl::StrCat(records.size(), " records, ", m_runs.size(), " runs"));
+    tick();
+}
+
+void batch_agent::onRecords(const std::vector<stored_record> &records)
+{
+    for (const stored_record &one : records)
+        applyRecord(one);
+    tick();
+}
+
+void batch_agent::applyRecord(const stored_record &stored)
+{
+    if (stored.value.empty())
+        return;
+    // Submissions are by far the largest records and name nothing that an agent needs.
+    if (stored.key.starts_with("j:"))
+        return;
+    const result<batch_record> decoded = decodeRecord(stored.value);
+    if (!decoded) {
+        decided("record ignored", stored.key, decoded.error().message);
+        return;
+    }
+    if (const auto *ordered = std::get_if<run_ordered>(&*decoded)) {
+        onOrdered(*ordered);
+    } else if (const auto *stopping = std::get_if<run_stopping>(&*decoded)) {
+        m_stoppingRuns.insert({stopping->unit, stopping->run});
+        for (auto &[id, run] : m_runs)
+            run.unwanted = run.unwanted || (id.unit == stopping->unit && id.run == stopping->run);
+    } else if (const auto *ended = std::get_if<run_ended>(&*decoded)) {
+        if (ended->agent == m_options.agent)
+            endLocally({ended->unit, ended->member, ended->run});
+    } else if (const auto *cancelled = std::get_if<job_cancelled>(&*decoded)) {
+        markUnwanted(cancelled->job);
+    } else if (const auto *failed = std::get_if<job_failed>(&*decoded)) {
+        markUnwanted(failed->job);
+    } else if (const auto *evicted = std::get_if<agent_evicted>(&*decoded)) {
+        if (evicted->agent == m_options.agent && m_evicted != evicted->evicted) {
+            m_evicted = evicted->evicted;
+            decided(m_evicted ? "evicted" : "reinstated", m_options.agent.str(),
+                    absl::StrCat("offset ", stored.offset));
+            if (m_evicted)
+                beat();
+        }
+    }
+}
+
+void batch_agent::onOrdered(const run_ordered &ordered)
+{
+    for (const run_member &member : ordered.members) {
+        if (member.agent != m_options.agent)
+            continue;
+        if (m_description && member.bornMs < m_description->bornMs)
+            continue;
+        const item_run id {ordered.unit, member.index, ordered.run};
+        if (m_ended.contains(id))
+            continue;
+        local_run run;
+        run.payload = ordered.payload;
+        run.checkpoint = ordered.checkpoint;
+        run.orderedMs = ordered.orderedMs;
+        run.bornMs = member.bornMs;
+        run.gang = ordered.gang;
+        run.unwanted = m_overJobs.contains(ordered.unit.job)
+            || m_stoppingRuns.contains({ordered.unit, ordered.run});
+        m_runs.try_emplace(id, std::move(run));
+    }
+}
+
+void batch_agent::endLocally(const item_run &run)
+{
+    m_ended.insert(run);
+    m_runs.erase(run);
+}
+
+void batch_agent::markUnwanted(const job_id &job)
+{
+    m_overJobs.insert(job);
+    for (auto &[id, run] : m_runs)
+        run.unwanted = run.unwanted || id.unit.job == job;
+}
+
+void batch_agent::prepareStop()
+{
+    if (m_announcedAt && !m_runs.empty())
+        look();
+}
+
+} // namespace hyssoppond::batch
--- /dev/null
+++ b/src/batch/batch_agent_runs.cpp
@@ -0,0 +1,362 @@
+/// @file The agent and its worker: starts, stops, leases and the lists of runs.
+#include "hyssoppond/batch/batch_agent_base.h"
+#include "hyssoppond/batch/lease_rule_func.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace hyssoppond::batch {
+
+namespace {
+
+/// Time for the answer to an order; the worker is on the same machine.
+constexpr absl::Duration OrderAnswer = absl::Milliseconds(700);
+
+/// Wait of a look, so that the lease is renewed well before a third of it has passed.
+constexpr absl::Duration LookWait = absl::Milliseconds(1500);
+
+/// Pause after a look that got no answer, or while ends wait for the journal.
+constexpr absl::Duration LookRetry = absl::Milliseconds(200);
+
+/// A lease is renewed after this time even while ends wait for the journal.
+constexpr absl::Duration LeaseRenewal = absl::Milliseconds(1500);
+
+/// A start needs a lease of at least this length, in ms, to be worth sending.
+constexpr std::int64_t ShortestLeaseMs = 1'000;
+
+/// Sends of a start before the agent reports that it did not start.
+constexpr std::uint32_t MostStartSends = 4;
+
+/// Bits of a fencing token that count the agent's own steps within one announcement.
+constexpr unsigned TokenStepBits = 10;
+
+/// Share of the gang timeout that is left for the order's way to all members.
+constexpr double GangStartShare = 0.6;
+
+std::string nameOf(const item_run &id)
+{
+    return absl::StrCat(id.unit.job.str(), ".", id.unit.occurrence, ".", id.unit.step, ".",
+                        id.member, "/", id.run);
+}
+
+} // namespace
+
+std::uint64_t batch_agent::token() const
+{
+    return ((*m_announcedAt + 1) << TokenStepBits) + m_tokenStep;
+}
+
+void batch_agent::supersedeOrders()
+{
+    ++m_tokenStep;
+}
+
+void batch_agent::noteClock(const std::optional<std::int64_t> &clockMs)
+{
+    if (!clockMs)
+        return;
+    m_clockMs = clockMs;
+    m_clockReadAt = m_hooks.now();
+}
+
+std::optional<std::int64_t> batch_agent::leaseUntilMs() const
+{
+    if (!m_clockMs || m_evicted)
+        return std::nullopt;
+    const absl::Time now = m_hooks.now();
+    const std::int64_t lease
+        = justifiedLeaseMs(m_follower.provenAt(), now, m_options.longestLeaseMs);
+    if (lease <= 0)
+        return std::nullopt;
+    const double passed = absl::ToDoubleMilliseconds(now - m_clockReadAt) * (1.0 - WorkerClockError);
+    return *m_clockMs + static_cast<std::int64_t>(passed) + lease;
+}
+
+run_ended batch_agent::endOf(const item_run &id, run_end how, const std::string &checkpoint) const
+{
+    return {id.unit, id.run, id.member, m_options.agent, how, checkpoint, false};
+}
+
+void batch_agent::report(std::vector<run_ended> ends, std::uint64_t acknowledge)
+{
+    std::vector<stored_record> records;
+    for (const run_ended &ended : ends) {
+        const item_run id {ended.unit, ended.member, ended.run};
+        decided("run ended", nameOf(id), std::string(RunEndNames.name(ended.how)));
+        const auto found = m_runs.find(id);
+        if (found != m_runs.end())
+            found->second.state = phase::Reported;
+        const batch_record content = ended;
+        records.push_back({keyOf(content), encodeRecord(content), 0});
+    }
+    const std::optional<std::uint64_t> life = m_announcedAt;
+    ++m_reporting;
+    m_writer.write(std::move(records), absl::InfiniteFuture(),
+                   [this, ends = std::move(ends), acknowledge, life](write_result what,
+                                                                     std::uint64_t /*offset*/) {
+                       --m_reporting;
+                       if (what != write_result::Written)
+                           return; // only another process with this name could fence us
+                       for (const run_ended &ended : ends)
+                           endLocally({ended.unit, ended.member, ended.run});
+                       if (life == m_announcedAt)
+                           m_acknowledged = std::max(m_acknowledged, acknowledge);
+                       m_lookAt = m_hooks.now();
+                   });
+}
+
+void batch_agent::reportNotStarted(const item_run &id, const char *why)
+{
+    decided("not started", nameOf(id), why);
+    report({endOf(id, run_end::NotStarted, "")}, 0);
+}
+
+void batch_agent::startDue()
+{
+    if (!m_synced || m_evicted)
+        return;
+    std::vector<item_run> due;
+    for (const auto &[id, run] : m_runs) {
+        if (run.state == phase::Ordered && !run.uncertain && isCurrent(run))
+            due.push_back(id);
+    }
+    for (const item_run &id : due) {
+        const local_run &run = m_runs.at(id);
+        const std::int64_t ageMs = absl::ToUnixMillis(m_hooks.dayTime()) - run.orderedMs;
+        const auto gangLimitMs = static_cast<std::int64_t>(
+            absl::ToDoubleMilliseconds(m_options.gangTimeout) * GangStartShare);
+        if (run.unwanted)
+            reportNotStarted(id, "no longer wanted");
+        else if (m_description->draining)
+            reportNotStarted(id, "worker is draining");
+        else if (run.gang && ageMs > gangLimitMs)
+            reportNotStarted(id, "too late for its gang");
+        else if (run.sends >= MostStartSends)
+            reportNotStarted(id, "worker refuses it");
+        else
+            start(id);
+    }
+}
+
+void batch_agent::start(const item_run &id)
+{
+    const std::optional<std::int64_t> until = leaseUntilMs();
+    const std::int64_t lease = justifiedLeaseMs(m_follower.provenAt(), m_hooks.now(),
+                                                m_options.longestLeaseMs);
+    if (!until || lease < ShortestLeaseMs)
+        return;
+    local_run &run = m_runs.at(id);
+    run.state = phase::Starting;
+    run.progressAt = m_hooks.now();
+    ++run.sends;
+    decided("start", nameOf(id), absl::StrCat("token ", token(), ", lease until ", *until));
+    start_order order;
+    order.run = id;
+    order.payload = run.payload;
+    order.checkpoint = run.checkpoint;
+    order.leaseUntilMs = *until;
+    order.fencingToken = token();
+    order.worker = m_description->worker;
+    order.deadline = m_hooks.now() + OrderAnswer;
+    m_worker->start(std::move(order), [this, id, sent = token()](const order_answer &answer) {
+        onStarted(id, sent, answer);
+    });
+}
+
+void batch_agent::onStarted(const item_run &id, std::uint64_t sent, const order_answer &answer)
+{
+    noteClock(answer.workerClockMs);
+    const auto found = m_runs.find(id);
+    if (found == m_runs.end() || found->second.state != phase::Starting)
+        return;
+    local_run &run = found->second;
+    switch (answer.outcome) {
+    case order_outcome::Done:
+        run.state = phase::Running;
+        run.progressAt = m_hooks.now();
+        m_lookAt = m_hooks.now();
+        break;
+    case order_outcome::NoAnswer:
+        // It may be carried out later. A look with a higher token rules that out, and shows
+        // whether it was carried out already.
+        decided("start unanswered", nameOf(id), "");
+        run.state = phase::Ordered;
+        run.uncertain = true;
+        m_lookFresh = true;
+        m_lookAt = m_hooks.now();
+        if (sent == token())
+            supersedeOrders();
+        break;
+    case order_outcome::StaleToken:
+    case order_outcome::LeaseOver:
+    case order_outcome::OldRun:
+        run.state = phase::Ordered;
+        run.uncertain = true;
+        m_lookAt = m_hooks.now();
+        break;
+    case order_outcome::NoRoom:
+    case order_outcome::Unhealthy:
+    case order_outcome::Rejected:
+        reportNotStarted(id, answer.outcome == order_outcome::NoRoom ? "no room" : "refused");
+        break;
+    case order_outcome::OtherLife:
+        break; // the heartbeat of the new life settles it
+    }
+    tick();
+}
+
+void batch_agent::stopDue()
+{
+    if (!m_synced)
+        return;
+    std::vector<item_run> due;
+    for (const auto &[id, run] : m_runs) {
+        if (run.unwanted && !run.stopSent && run.state == phase::Running && isCurrent(run))
+            due.push_back(id);
+    }
+    for (const item_run &id : due)
+        stop(id);
+}
+
+void batch_agent::stop(const item_run &id)
+{
+    const auto found = m_runs.find(id);
+    if (found != m_runs.end())
+        found->second.stopSent = true;
+    decided("stop", nameOf(id), absl::StrCat("token ", token()));
+    m_worker->stop({id, token(), m_description->worker, m_hooks.now() + OrderAnswer},
+                   [this, id](const order_answer &answer) {
+                       noteClock(answer.workerClockMs);
+                       if (answer.outcome == order_outcome::Done)
+                           return; // its end will be listed
+                       decided("stop failed", nameOf(id), "");
+                       const auto run = m_runs.find(id);
+                       if (run != m_runs.end())
+                           run->second.stopSent = false;
+                       if (answer.outcome == order_outcome::NoAnswer)
+                           supersedeOrders();
+                       m_lookAt = m_hooks.now();
+                   });
+}
+
+bool batch_agent::wantsLook() const
+{
+    // Runs can be told from strays only when all orders before the announcement are known.
+    if (!m_announcedAt || !m_follower.isLoaded() || m_follower.position() <= *m_announcedAt)
+        return false;
+    return !m_synced || !m_runs.empty() || m_reporting != 0;
+}
+
+void batch_agent::look()
+{
+    const absl::Time now = m_hooks.now();
+    if (m_reporting != 0 && m_synced && now - m_lastLookAt < LeaseRenewal) {
+        // The worker would list the same ends again at once.
+        m_lookAt = m_lastLookAt + LeaseRenewal;
+        return;
+    }
+    m_looking = true;
+    m_lastLookAt = now;
+    const bool uncertain = std::any_of(m_runs.begin(), m_runs.end(),
+                                       [](const auto &entry) { return entry.second.uncertain; });
+    look_order order;
+    order.leaseUntilMs = leaseUntilMs();
+    order.fencingToken = token();
+    order.lastSeenEnd = m_acknowledged;
+    order.wait = m_synced && !uncertain && m_reporting == 0 ? LookWait : absl::ZeroDuration();
+    order.worker = m_description->worker;
+    order.deadline = now + order.wait + OrderAnswer;
+    order.freshConnection = m_lookFresh;
+    m_worker->look(std::move(order), [this, sent = token(), now](const look_answer &answer) {
+        m_looking = false;
+        onLook(answer, sent, now);
+        tick();
+    });
+}
+
+item_run batch_agent::ownRun(const item_run &listed) const
+{
+    if (m_runs.contains(listed))
+        return listed;
+    item_run gang = listed;
+    gang.unit.index = 0; // the members of a gang share its unit
+    return m_runs.contains(gang) || m_ended.contains(gang) ? gang : listed;
+}
+
+void batch_agent::onLook(const look_answer &answer, std::uint64_t sent, absl::Time sentAt)
+{
+    const absl::Time now = m_hooks.now();
+    noteClock(answer.workerClockMs);
+    m_lookAt = now;
+    m_lookFresh = false;
+    if (answer.outcome != order_outcome::Done) {
+        decided("look failed", "", absl::StrCat("outcome ", static_cast<int>(answer.outcome)));
+        if (answer.outcome == order_outcome::StaleToken) {
+            // An agent before this one used a higher token, or a late order of ours arrived.
+            if (sent == token())
+                supersedeOrders();
+        }
+        m_lookFresh = answer.outcome == order_outcome::NoAnswer;
+        m_lookAt = now + LookRetry;
+        return;
+    }
+    if (!m_announcedAt || (sent >> TokenStepBits) != (token() >> TokenStepBits))
+        return; // asked for an earlier life
+    const bool firstLook = !m_synced;
+    m_synced = true;
+    std::set<item_run> listed;
+    for (const running_item &one : answer.running) {
+        const item_run id = ownRun(one.run);
+        listed.insert(id);
+        const auto found = m_runs.find(id);
+        if (found == m_runs.end()) {
+            // Given away, or of a job that is over.
+            stop(id);
+            continue;
+        }
+        local_run &run = found->second;
+        if (run.state == phase::Ordered && firstLook)
+            decided("adopted", nameOf(id), "");
+        if (run.state == phase::Ordered || run.state == phase::Starting)
+            run.state = phase::Running;
+        run.uncertain = false;
+        if (one.percent != run.percent) {
+            run.percent = one.percent;
+            run.progressAt = now;
+        }
+    }
+    std::vector<run_ended> ends;
+    std::uint64_t newest = 0;
+    for (const ended_item &one : answer.ended) {
+        newest = std::max(newest, one.number);
+        if (one.number <= m_acknowledged)
+            continue;
+        const item_run id = ownRun(one.run);
+        listed.insert(id);
+        const auto found = m_runs.find(id);
+        if (found != m_runs.end() && found->second.state != phase::Reported)
+            ends.push_back(endOf(id, one.how, one.checkpoint));
+    }
+    if (!ends.empty())
+        report(std::move(ends), newest);
+    else if (m_reporting == 0)
+        m_acknowledged = std::max(m_acknowledged, newest);
+    std::vector<item_run> vanished;
+    for (auto &[id, run] : m_runs) {
+        if (listed.contains(id) || !isCurrent(run))
+            continue;
+        if (run.state == phase::Running && run.progressAt < sentAt)
+            vanished.push_back(id);
+        if (run.uncertain && sent == token())
+            run.uncertain = false; // not there, and an earlier order can no longer start it
+    }
+    for (const item_run &id : vanished) {
+        decided("run vanished", nameOf(id), "in neither list of the worker");
+        report({endOf(id, run_end::Lapsed, "")}, 0);
+    }
+    if (m_reporting != 0)
+        m_lookAt = now + LookRetry;
+}
+
+} // namespace hyssoppond::batch
--- /dev/null
+++ b/src/batch/batch_entry.cpp
@@ -0,0 +1,424 @@
+/// @file Implementation of the entry's part of batch jobs.
+#include "hyssoppond/batch/batch_entry_base.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace hyssoppond::batch {
+
+namespace {
+
+/// A submission is refused at once while the store has not answered for this long.
+constexpr absl::Duration StoreStalled = absl::Milliseconds(700);
+
+/// Longest wait for the record of a submission; a quarter of the shortest objective, about 4 s.
+constexpr absl::Duration RecordWithin = absl::Milliseconds(1500);
+
+/// Kept free at the end of the caller's time for the answer to arrive.
+constexpr absl::Duration AnswerMargin = absl::Milliseconds(150);
+
+/// An entry whose view of the journal is older is not ready for new connections.
+constexpr absl::Duration ReadyProof = absl::Milliseconds(3500);
+
+/// Keys are refused this much before they may be out of force.
+constexpr absl::Duration KeyMargin = absl::Milliseconds(600);
+
+/// Shortest and longest advice when to come back.
+constexpr absl::Duration ShortestRetryAfter = absl::Seconds(1);
+constexpr absl::Duration LongestRetryAfter = absl::Seconds(3);
+
+/// Digits of a job id.
+constexpr std::size_t JobIdDigits = 16;
+
+/// Limits of a submission; the payload's is stated by the platform, the others bound memory.
+constexpr std::size_t MaxPayloadBytes = 4'000;
+constexpr std::size_t MaxSteps = 64;
+constexpr std::uint32_t MaxItemsPerStep = 10'000;
+constexpr std::uint32_t MaxOccurrences = 1'000;
+
+} // namespace
+
+result<void> checkJob(const batch_job &job)
+{
+    const auto invalid = [](std::string message) {
+        return fail(reason::InvalidArgument, std::move(message));
+    };
+    if (job.payload.size() > MaxPayloadBytes)
+        return invalid("the job's text is longer than 4000 bytes; shorten it");
+    if (job.steps.empty() || job.steps.size() > MaxSteps)
+        return invalid("a job needs 1 to 64 steps");
+    if (job.repeats > MaxOccurrences)
+        return invalid("a job repeats at most 1000 times; submit several");
+    if (job.repeats > 0 && job.intervalMs < 0)
+        return invalid("the interval between two occurrences is negative");
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+        const batch_step &step = job.steps[i];
+        if (step.count == 0 || step.count > MaxItemsPerStep)
+            return invalid(absl::StrCat("step ", i, " needs 1 to 10000 items"));
+        if (step.item.cpuMilli < 0 || step.item.memoryMb < 0 || step.item.accelerators < 0)
+            return invalid(absl::StrCat("step ", i, " asks for a negative amount"));
+        for (const std::uint32_t earlier : step.dependsOn) {
+            if (earlier >= i)
+                return invalid(absl::StrCat("step ", i, " may depend on earlier steps only"));
+        }
+    }
+    return {};
+}
+
+batch_entry::batch_entry(batch_entry_options options, store_port *store, loop_hooks hooks)
+    : m_options(std::move(options))
+    , m_store(store)
+    , m_hooks(std::move(hooks))
+    , m_configFollower({m_options.configTopic}, store, m_hooks)
+    , m_journal({m_options.journalTopic}, store, m_hooks)
+    , m_writer({m_options.journalTopic,
+                absl::StrCat(m_options.entry.str(), "/", m_options.incarnation)},
+               store, m_hooks)
+    , m_decider({m_options.entry, m_options.journalTopic, "beats", "decider", "decider",
+                 m_options.scheduler},
+                store, m_hooks, &m_state, &m_journal)
+{
+    m_configFollower.onLoaded = [this](const auto &records) { applyConfig(records); };
+    m_configFollower.onRecords = [this](const auto &records) { applyConfig(records); };
+    m_journal.onLoaded = [this](const auto &records) {
+        m_state.clear();
+        decided("journal loaded", "", absl::StrCat(records.size(), " records"));
+        applyJournal(records);
+        m_decider.onReloaded();
+        tick();
+    };
+    m_journal.onRecords = [this](const auto &records) {
+        applyJournal(records);
+        m_decider.onRecords();
+        tick();
+    };
+    m_journal.onReachable = [this](bool reachable) {
+        m_storeLostAt = reachable ? absl::InfiniteFuture() : m_hooks.now();
+        decided(reachable ? "store regained" : "store lost", "", "");
+    };
+    m_state.onMemberEnded = [this](const ended_member &ended) { m_decider.onMemberEnded(ended); };
+    m_decider.onDecision = [this](const char *decision, const std::string &item,
+                                  const std::string &detail) { decided(decision, item, detail); };
+}
+
+void batch_entry::decided(const char *decision, const std::string &item,
+                          const std::string &detail) const
+{
+    if (onDecision)
+        onDecision(decision, item, detail);
+}
+
+void batch_entry::applyConfig(const std::vector<stored_record> &records)
+{
+    for (const stored_record &one : records) {
+        std::optional<site_config> config = decodeConfig(one);
+        if (!config || (m_config && config->version < m_config->version))
+            continue;
+        decided("configuration in force", absl::StrCat(config->version),
+                absl::StrCat("offset ", one.offset));
+        m_config = std::move(config);
+        m_decider.setConfig(&*m_config);
+    }
+    m_decider.onRecords();
+}
+
+void batch_entry::applyJournal(const std::vector<stored_record> &records)
+{
+    // A repeated submission can move a job's record behind those of its runs.
+    for (const bool submissions : {true, false}) {
+        for (const stored_record &one : records) {
+            if (one.value.empty() || one.key.starts_with("j:") != submissions)
+                continue;
+            const result<batch_record> record = decodeRecord(one.value);
+            if (record)
+                m_state.apply(*record, one.offset);
+            else
+                decided("record ignored", one.key, record.error().message);
+        }
+    }
+}
+
+void batch_entry::tick()
+{
+    m_configFollower.tick();
+    m_journal.tick();
+    m_writer.tick();
+    m_decider.tick();
+}
+
+absl::Time batch_entry::nextDeadline() const
+{
+    return std::min({m_configFollower.nextDeadline(), m_journal.nextDeadline(),
+                     m_writer.nextDeadline(), m_decider.nextDeadline()});
+}
+
+void batch_entry::leave()
+{
+    m_leaving = true;
+    m_decider.leave();
+}
+
+bool batch_entry::isReady() const
+{
+    const absl::Time now = m_hooks.now();
+    return !m_leaving && m_config && m_journal.isLoaded()
+        && now - m_journal.provenAt() < ReadyProof
+        && now - m_configFollower.provenAt() < ReadyProof;
+}
+
+absl::Duration batch_entry::retryAfter() const
+{
+    if (m_storeLostAt == absl::InfiniteFuture())
+        return ShortestRetryAfter;
+    // An outage that has lasted is likely to last as long again.
+    return std::clamp(m_hooks.now() - m_storeLostAt, ShortestRetryAfter, LongestRetryAfter);
+}
+
+job_reply batch_entry::refusal(reason why, std::string message) const
+{
+    job_reply reply;
+    reply.kind = reply_kind::Refused;
+    reply.why = why;
+    reply.message = std::move(message);
+    reply.retryAfter = retryAfter();
+    return reply;
+}
+
+job_reply batch_entry::replyOf(const error &problem)
+{
+    job_reply reply;
+    reply.why = problem.why;
+    reply.message = problem.message;
+    switch (problem.why) {
+    case reason::UnknownEndpoint:
+        reply.kind = reply_kind::NoQueue;
+        break;
+    case reason::UnknownTeam:
+        reply.kind = reply_kind::Unauthorized;
+        break;
+    case reason::UnknownJob:
+        reply.kind = reply_kind::NoJob;
+        break;
+    default:
+        reply.kind = reply_kind::Malformed;
+    }
+    return reply;
+}
+
+result<batch_entry::routed_call> batch_entry::route(const job_call &call) const
+{
+    routed_call target;
+    for (const queue_policy &queue : m_config->queues) {
+        if (queue.host != call.host || !absl::StartsWith(call.path, queue.pathPrefix))
+            continue;
+        if (target.queue == nullptr || queue.pathPrefix.size() > target.queue->pathPrefix.size())
+            target.queue = &queue;
+    }
+    if (target.queue == nullptr)
+        return fail(reason::UnknownEndpoint, "no such queue; check the host and the path");
+    target.id = call.path.substr(target.queue->pathPrefix.size());
+    if (target.queue->isPublic)
+        return target;
+    for (const batch_team &team : m_config->teams) {
+        if (std::find(team.keys.begin(), team.keys.end(), call.key) != team.keys.end()) {
+            target.team = team.id;
+            return target;
+        }
+    }
+    return fail(reason::UnknownTeam, "the key is not in force; use one of the team's keys");
+}
+
+void batch_entry::handle(job_call call, responder respond)
+{
+    if (!m_config) {
+        respond(refusal(reason::LogUnavailable, "no configuration yet; retry"));
+        return;
+    }
+    const absl::Duration configAge = m_hooks.now() - m_configFollower.provenAt();
+    if (configAge > m_options.keysValidFor - KeyMargin) {
+        respond(refusal(reason::LogUnavailable, "the configuration may be outdated; retry"));
+        return;
+    }
+    const result<routed_call> target = route(call);
+    if (!target) {
+        respond(replyOf(target.error()));
+        return;
+    }
+    if (call.kind == call_kind::Status && target->id.empty())
+        call.kind = call_kind::Pending;
+    if (call.kind != call_kind::Pending) {
+        const bool wellFormed = target->id.size() == JobIdDigits
+            && std::all_of(target->id.begin(), target->id.end(),
+                           [](char c) { return absl::ascii_isxdigit(static_cast<unsigned char>(c)); });
+        if (!wellFormed) {
+            respond(replyOf({call.kind == call_kind::Submit ? reason::InvalidArgument
+                                                            : reason::UnknownJob,
+                             "a job's id has 16 hexadecimal digits", execution::NotRun,
+                             absl::InfiniteFuture(), 0}));
+            return;
+        }
+    }
+    switch (call.kind) {
+    case call_kind::Submit:
+        submit(*target, std::move(call), respond);
+        break;
+    case call_kind::Status:
+        status(*target, call, respond);
+        break;
+    case call_kind::Cancel:
+        cancel(*target, call, respond);
+        break;
+    case call_kind::Pending:
+        pending(*target, respond);
+        break;
+    }
+}
+
+void batch_entry::submit(const routed_call &target, job_call call, const responder &respond)
+{
+    const job_id id(target.id);
+    if (const job_state *known = m_state.find(id)) {
+        job_reply reply;
+        reply.kind = reply_kind::Accepted;
+        if (known->job.team != target.team)
+            reply = replyOf({reason::RequestIdReused, "the id belongs to another job; choose another",
+                             execution::NotRun, absl::InfiniteFuture(), 0});
+        respond(reply);
+        return;
+    }
+    if (!call.job) {
+        respond(replyOf({reason::MalformedRequest, call.problem, execution::NotRun,
+                         absl::InfiniteFuture(), 0}));
+        return;
+    }
+    if (const result<void> checked = checkJob(*call.job); !checked) {
+        respond(replyOf(checked.error()));
+        return;
+    }
+    if (target.queue->needsAdvice) {
+        respond(refusal(reason::WrongState, "queues with advice are not served by this version"));
+        return;
+    }
+    if (!m_journal.isLoaded() || m_writer.isStalled(StoreStalled)
+        || m_storeLostAt != absl::InfiniteFuture()) {
+        respond(refusal(reason::LogUnavailable, "the platform's store does not answer; retry"));
+        return;
+    }
+    batch_job job = std::move(*call.job);
+    job.id = id;
+    job.queue = target.queue->name;
+    job.team = target.team;
+    job.submittedMs = absl::ToUnixMillis(m_hooks.dayTime());
+    const batch_record record = job_submitted {std::move(job)};
+    const absl::Time deadline
+        = std::min(call.deadline - AnswerMargin, m_hooks.now() + RecordWithin);
+    m_writer.write(
+        {{keyOf(record), encodeRecord(record), 0}}, deadline,
+        [this, id, respond](write_result what, std::uint64_t offset) {
+            job_reply reply;
+            if (what == write_result::Written) {
+                reply.kind = reply_kind::Accepted;
+                decided("job accepted", id.str(), absl::StrCat("offset ", offset));
+            } else if (what == write_result::NotWritten) {
+                reply = refusal(reason::LogUnavailable, "the job was not recorded; retry");
+            } else {
+                reply.kind = reply_kind::Unknown;
+                reply.why = reason::LogUnsettled;
+                reply.message = "the store did not say whether the job was recorded; repeat the call";
+                decided("job unsettled", id.str(), "");
+            }
+            respond(reply);
+        });
+}
+
+void batch_entry::withJob(const routed_call &target, absl::Time deadline,
+                          const responder &respond,
+                          const std::function<void(const job_state &)> &found)
+{
+    const job_id id(target.id);
+    const auto missing = [] {
+        return replyOf({reason::UnknownJob, "no such job; submit it", execution::NotRun,
+                        absl::InfiniteFuture(), 0});
+    };
+    if (const job_state *known = m_state.find(id)) {
+        // A job of another team is not shown.
+        if (known->job.team == target.team)
+            found(*known);
+        else
+            respond(missing());
+        return;
+    }
+    // Another entry may have accepted it a moment ago.
+    m_journal.barrier(deadline - AnswerMargin,
+                      [this, id, team = target.team, respond, found, missing](bool proven) {
+                          const job_state *known = m_state.find(id);
+                          if (known != nullptr && known->job.team == team)
+                              found(*known);
+                          else if (proven)
+                              respond(missing());
+                          else
+                              respond(refusal(reason::LogUnavailable,
+                                              "the store does not say whether the job exists; retry"));
+                      });
+}
+
+void batch_entry::status(const routed_call &target, const job_call &call, const responder &respond)
+{
+    withJob(target, call.deadline, respond, [respond](const job_state &job) {
+        job_reply reply;
+        reply.kind = reply_kind::Status;
+        reply.status = job.status();
+        respond(reply);
+    });
+}
+
+void batch_entry::cancel(const routed_call &target, const job_call &call, const responder &respond)
+{
+    const absl::Time deadline = call.deadline - AnswerMargin;
+    withJob(target, call.deadline, respond, [this, respond, deadline](const job_state &job) {
+        job_reply reply;
+        reply.kind = reply_kind::Cancelled;
+        if (job.cancelled) {
+            respond(reply);
+            return;
+        }
+        if (job.isOver()) {
+            respond(replyOf({reason::UnknownJob, "the job has ended", execution::Ran,
+                             absl::InfiniteFuture(), 0}));
+            return;
+        }
+        const job_id id = job.job.id;
+        const batch_record record = job_cancelled {id};
+        m_writer.write({{keyOf(record), encodeRecord(record), 0}}, deadline,
+                       [this, id, respond, reply](write_result what, std::uint64_t offset) {
+                           job_reply answer = reply;
+                           if (what == write_result::Written) {
+                               decided("job cancelled", id.str(), absl::StrCat("offset ", offset));
+                           } else if (what == write_result::NotWritten) {
+                               answer = refusal(reason::LogUnavailable, "not recorded; retry");
+                           } else {
+                               answer.kind = reply_kind::Unknown;
+                               answer.why = reason::LogUnsettled;
+                               answer.message = "the store did not answer; repeat the call";
+                           }
+                           respond(answer);
+                       });
+    });
+}
+
+void batch_entry::pending(const routed_call &target, const responder &respond) const
+{
+    if (!m_journal.isLoaded()) {
+        respond(refusal(reason::LogUnavailable, "the journal is not loaded yet; retry"));
+        return;
+    }
+    job_reply reply;
+    reply.kind = reply_kind::Pending;
+    reply.pending = m_state.pending(target.queue->name);
+    respond(reply);
+}
+
+} // namespace hyssoppond::batch
--- /dev/null
+++ b/src/batch/batch_record.cpp
@@ -0,0 +1,88 @@
+/// @file Keys and codec of the batch journal.
+#include "hyssoppond/base/sealed_archive_func.h"
+#include "hyssoppond/batch/batch_record_type.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace hyssoppond::batch {
+
+namespace {
+
+/// Version byte of records and beats.
+constexpr std::uint8_t BatchRecordVersion = 1;
+
+/// Largest record that is read, in bytes; the platform's store takes 256 KiB.
+constexpr std::size_t MaxRecordBytes = 262'144;
+
+struct key_of_record
+{
+    std::string operator()(const job_submitted &r) const { return "j:" + r.job.id.str(); }
+    std::string operator()(const job_cancelled &r) const { return "c:" + r.job.str(); }
+    std::string operator()(const job_failed &r) const { return "f:" + r.job.str(); }
+    std::string operator()(const run_ordered &r) const
+    {
+        return absl::StrCat("o:", toString(r.unit), ":", r.run);
+    }
+    std::string operator()(const run_stopping &r) const
+    {
+        return absl::StrCat("s:", toString(r.unit), ":", r.run);
+    }
+    std::string operator()(const run_ended &r) const
+    {
+        // Two writers have two keys, so that the first record of the two stays visible.
+        return absl::StrCat(r.byDecider ? "l:" : "e:", toString(r.unit), ":", r.run, ":", r.member);
+    }
+    std::string operator()(const agent_announced &r) const { return "n:" + r.agent.str(); }
+    std::string operator()(const agent_evicted &r) const { return "v:" + r.agent.str(); }
+    std::string operator()(const decider_granted & /*r*/) const { return "decider"; }
+};
+
+} // namespace
+
+std::string toString(const unit_id &unit)
+{
+    return absl::StrCat(unit.job.str(), ".", unit.occurrence, ".", unit.step, ".", unit.index);
+}
+
+const queue_policy *site_config::findQueue(const std::string &name) const
+{
+    const auto found = std::find_if(queues.begin(), queues.end(),
+                                    [&](const queue_policy &one) { return one.name == name; });
+    return found == queues.end() ? nullptr : &*found;
+}
+
+const batch_team *site_config::findTeam(const team_id &id) const
+{
+    const auto found = std::find_if(teams.begin(), teams.end(),
+                                    [&](const batch_team &one) { return one.id == id; });
+    return found == teams.end() ? nullptr : &*found;
+}
+
+std::string keyOf(const batch_record &record)
+{
+    return std::visit(key_of_record {}, record);
+}
+
+std::string encodeRecord(const batch_record &record)
+{
+    return seal(BatchRecordVersion, record);
+}
+
+result<batch_record> decodeRecord(std::string_view bytes)
+{
+    return unseal<batch_record>(BatchRecordVersion, bytes, MaxRecordBytes);
+}
+
+std::string encodeBeat(const agent_beat &beat)
+{
+    return seal(BatchRecordVersion, beat);
+}
+
+result<agent_beat> decodeBeat(std::string_view bytes)
+{
+    return unseal<agent_beat>(BatchRecordVersion, bytes, MaxRecordBytes);
+}
+
+} // namespace hyssoppond::batch
--- /dev/null
+++ b/src/batch/batch_scheduler.cpp
@@ -0,0 +1,240 @@
+/// @file Implementation of the batch scheduler.
+#include "hyssoppond/batch/batch_scheduler_base.h"
+
+#include "plan_maker.h"
+
+#include <algorithm>
+
+namespace hyssoppond::batch {
+
+namespace {
+
+/// Pause between two plans while units wait, as slack runs out without a record.
+constexpr absl::Duration WaitingReplan = absl::Milliseconds(250);
+
+/// Failures on so many workers are put down to the job.
+constexpr std::size_t WorkersToBlameJob = 2;
+
+/// Doublings of the guard time of a worker that keeps failing.
+constexpr std::uint32_t MostGuardDoublings = 2;
+
+} // namespace
+
+std::int64_t chainMs(const batch_job &job, std::uint32_t from)
+{
+    std::vector<std::int64_t> ends(job.steps.size(), 0);
+    std::int64_t longest = 0;
+    for (std::size_t i = from; i < job.steps.size(); ++i) {
+        std::int64_t start = 0;
+        for (const std::uint32_t earlier : job.steps[i].dependsOn)
+            start = std::max(start, ends[earlier]);
+        ends[i] = start + job.steps[i].estimateMs;
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+
+void batch_scheduler::observe(const ended_member &ended, const batch_state &state, absl::Time now)
+{
+    guard_entry &guard = m_guards[ended.member.agent];
+    if (ended.how == run_end::Done) {
+        guard = {};
+        return;
+    }
+    if (ended.how == run_end::NotStarted) {
+        guard.until = std::max(guard.until, now + m_options.refusalGuard);
+        return;
+    }
+    if (ended.how != run_end::Failed)
+        return;
+    const unit_state *unit = state.findUnit(ended.unit);
+    if (unit != nullptr && unit->failedOn.size() >= WorkersToBlameJob) {
+        for (const process_id &agent : unit->failedOn) {
+            if (m_guards[agent].failures <= 1)
+                m_guards[agent] = {};
+        }
+        return;
+    }
+    const std::uint32_t doublings = std::min(guard.failures, MostGuardDoublings);
+    ++guard.failures;
+    guard.until = now + m_options.failureGuard * (1U << doublings);
+}
+
+std::vector<batch_record> batch_scheduler::plan(const plan_input &input)
+{
+    plan_maker maker {input, m_options};
+    maker.measureRooms(*this);
+    maker.failHopeless();
+    maker.stopBroken();
+    for (const waiting_unit &unit : maker.waitingUnits())
+        maker.place(unit);
+    return std::move(maker.decisions);
+}
+
+absl::Time batch_scheduler::nextDeadline(const plan_input &input) const
+{
+    for (const auto &[id, job] : input.state->jobs()) {
+        if (!job.isOver())
+            return input.now + WaitingReplan;
+    }
+    return absl::InfiniteFuture();
+}
+
+void plan_maker::measureRooms(const batch_scheduler &scheduler)
+{
+    for (const auto &[agent, announced] : input.state->agents()) {
+        if (!announced.hasWorker)
+            continue;
+        worker_room room;
+        room.agent = agent;
+        room.worker = &announced.worker;
+        room.free = announced.worker.capacity;
+        const auto guard = scheduler.m_guards.find(agent);
+        room.guarded = guard != scheduler.m_guards.end() && guard->second.until > input.now;
+        for (const unit_id &id : input.state->runsOn(agent)) {
+            const job_state *job = input.state->find(id.job);
+            const run_state &run = *input.state->findUnit(id)->active;
+            const resources need = job->job.steps[id.step].item;
+            for (const member_state &member : run.members) {
+                if (member.member.agent != agent || member.end)
+                    continue;
+                room.free -= need;
+                if (run.stopping || job->isOver())
+                    room.releasing += need;
+            }
+        }
+        rooms.push_back(std::move(room));
+    }
+}
+
+void plan_maker::stop(const unit_id &unit)
+{
+    if (!stopped.insert(unit).second)
+        return;
+    decisions.emplace_back(run_stopping {unit, input.state->findUnit(unit)->active->run});
+    const resources need = input.state->find(unit.job)->job.steps[unit.step].item;
+    for (const member_state &member : input.state->findUnit(unit)->active->members) {
+        for (worker_room &room : rooms) {
+            if (room.agent == member.member.agent && !member.end)
+                room.releasing += need;
+        }
+    }
+}
+
+void plan_maker::failHopeless()
+{
+    for (const auto &[id, job] : input.state->jobs()) {
+        const queue_policy *queue = input.config->findQueue(job.job.queue);
+        if (job.isOver() || queue == nullptr)
+            continue;
+        bool hopeless = false;
+        for (const occurrence_state &occurrence : job.occurrences) {
+            for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+                if (job.job.steps[s].longRunning)
+                    continue;
+                for (const unit_state &unit : occurrence.steps[s].units)
+                    hopeless = hopeless || (!unit.done && unit.failures >= queue->maxAttempts);
+            }
+        }
+        if (hopeless)
+            decisions.emplace_back(job_failed {id});
+    }
+}
+
+void plan_maker::stopBroken()
+{
+    for (const auto &[id, job] : input.state->jobs()) {
+        if (job.isOver())
+            continue;
+        for (const unit_id &unit : job.activeUnits) {
+            const run_state &run = *input.state->findUnit(unit)->active;
+            if (run.stopping)
+                continue;
+            bool broken = false;
+            bool done = false;
+            bool doomed = false;
+            for (const member_state &member : run.members) {
+                if (member.end) {
+                    done = done || *member.end == run_end::Done;
+                    broken = true;
+                    continue;
+                }
+                const auto agent = input.state->agents().find(member.member.agent);
+                if (agent == input.state->agents().end() || !agent->second.worker.draining)
+                    continue;
+                // Work that cannot end before its worker leaves is moved while little is lost.
+                const unix_ms endsMs = run.orderedMs + job.job.steps[unit.step].estimateMs;
+                const unix_ms leavesMs = agent->second.worker.leavesAtMs;
+                doomed = doomed || (leavesMs != 0 && endsMs > leavesMs);
+            }
+            if ((broken && !done) || doomed)
+                stop(unit);
+        }
+    }
+}
+
+void plan_maker::addUnits(const job_state &job, std::vector<waiting_unit> *units) const
+{
+    const queue_policy *queue = input.config->findQueue(job.job.queue);
+    if (queue == nullptr)
+        return;
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        const occurrence_state &occurrence = job.occurrences[k];
+        const unix_ms dueMs = job.job.dueMs(k);
+        if (occurrence.left == 0 || dueMs > input.nowMs)
+            continue;
+        for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+            const batch_step &step = job.job.steps[s];
+            const bool ready = std::all_of(
+                step.dependsOn.begin(), step.dependsOn.end(),
+                [&](std::uint32_t earlier) { return occurrence.steps[earlier].left == 0; });
+            if (occurrence.steps[s].left == 0 || !ready)
+                continue;
+            const double work = static_cast<double>(chainMs(job.job, 0));
+            const std::int64_t rest = chainMs(job.job, s);
+            const auto objective = static_cast<std::int64_t>(queue->stretch * work)
+                + queue->latencyGoalMs;
+            waiting_unit unit;
+            unit.job = &job;
+            unit.step = &step;
+            unit.queue = queue;
+            unit.members = step.gang ? step.count : 1;
+            unit.latestStartMs = dueMs + objective - rest;
+            if (unit.latestStartMs < input.nowMs) {
+                unit.lateness = 1;
+                unit.latestStartMs = dueMs + 3 * objective - rest; // late up to three times
+                if (unit.latestStartMs < input.nowMs)
+                    unit.lateness = 2;
+            }
+            for (std::uint32_t i = 0; i < occurrence.steps[s].units.size(); ++i) {
+                const unit_state &state = occurrence.steps[s].units[i];
+                if (state.done || state.active)
+                    continue;
+                unit.id = {job.job.id, k, s, i};
+                unit.state = &state;
+                units->push_back(unit);
+            }
+        }
+    }
+}
+
+std::vector<waiting_unit> plan_maker::waitingUnits() const
+{
+    std::vector<waiting_unit> units;
+    for (const auto &[id, job] : input.state->jobs()) {
+        if (!job.isOver())
+            addUnits(job, &units);
+    }
+    std::stable_sort(units.begin(), units.end(), [](const waiting_unit &a, const waiting_unit &b) {
+        const bool urgentA = a.queue->priority == 0;
+        const bool urgentB = b.queue->priority == 0;
+        if (urgentA != urgentB)
+            return urgentA;
+        if (a.lateness != b.lateness)
+            return a.lateness < b.lateness;
+        return a.latestStartMs < b.latestStartMs;
+    });
+    return units;
+}
+
+} // namespace hyssoppond::batch
--- /dev/null
+++ b/src/batch/plan_maker.cpp
@@ -0,0 +1,356 @@
+/// @file Placement of one unit: where it fits, what it waits for and what is stopped for it.
+#include "plan_maker.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace hyssoppond::batch {
+
+namespace {
+
+/// Seconds of work lost when a run with checkpoints is stopped: the restore and the order.
+constexpr double CheckpointLossSeconds = 0.3;
+
+/// Smallest loss of a run that is stopped, in seconds; keeps the number of victims low.
+constexpr double LeastLossSeconds = 0.2;
+
+} // namespace
+
+bool plan_maker::isSuitable(const waiting_unit &unit, const worker_room &room) const
+{
+    const worker_description &worker = *room.worker;
+    if (worker.service != unit.queue->service || worker.draining || room.guarded)
+        return false;
+    if (input.silent.contains(room.agent) || input.state->isEvicted(room.agent))
+        return false;
+    if (unit.state->failedOn.contains(room.agent)
+        && unit.state->failedOn.size() * 2 < rooms.size())
+        return false;
+    const std::string &label = unit.step->requiredLabel;
+    return label.empty()
+        || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+}
+
+std::uint32_t plan_maker::capacityFor(const waiting_unit &unit, const worker_room &room,
+                                      const resources &available) const
+{
+    const resources &need = unit.step->item;
+    std::int64_t count = unit.members;
+    const auto limit = [&count](std::int64_t have, std::int64_t one) {
+        if (one > 0)
+            count = std::min(count, std::max<std::int64_t>(0, have) / one);
+    };
+    if (!unit.step->fills)
+        limit(available.cpuMilli, need.cpuMilli);
+    limit(available.memoryMb, need.memoryMb);
+    limit(available.accelerators, need.accelerators);
+    if (unit.step->maxPerWorker > 0) {
+        std::int64_t here = 0;
+        const auto &units
+            = unit.job->occurrences[unit.id.occurrence].steps[unit.id.step].units;
+        for (const unit_state &other : units) {
+            if (!other.active)
+                continue;
+            for (const member_state &member : other.active->members)
+                here += member.member.agent == room.agent && !member.end ? 1 : 0;
+        }
+        for (const batch_record &decision : decisions) {
+            const auto *ordered = std::get_if<run_ordered>(&decision);
+            if (ordered == nullptr || ordered->unit.job != unit.id.job
+                || ordered->unit.step != unit.id.step
+                || ordered->unit.occurrence != unit.id.occurrence)
+                continue;
+            for (const run_member &member : ordered->members)
+                here += member.agent == room.agent ? 1 : 0;
+        }
+        count = std::min(count, std::max<std::int64_t>(0, unit.step->maxPerWorker - here));
+    }
+    return static_cast<std::uint32_t>(count);
+}
+
+std::vector<std::size_t> plan_maker::fit(const waiting_unit &unit, const room_filter &accept,
+                                         const room_measure &available) const
+{
+    struct candidate
+    {
+        std::size_t room;
+        std::uint32_t capacity;
+        resources available;
+    };
+    std::vector<candidate> candidates;
+    std::uint32_t total = 0;
+    for (std::size_t i = 0; i < rooms.size(); ++i) {
+        if (!isSuitable(unit, rooms[i]) || !accept(rooms[i]))
+            continue;
+        const resources room = available(rooms[i]);
+        const std::uint32_t capacity = capacityFor(unit, rooms[i], room);
+        if (capacity == 0)
+            continue;
+        candidates.push_back({i, capacity, room});
+        total += capacity;
+    }
+    if (total < unit.members)
+        return {};
+    // Best fit keeps whole workers free for items that need all accelerators of one.
+    std::stable_sort(candidates.begin(), candidates.end(), [](const candidate &a, const candidate &b) {
+        if (a.available.accelerators != b.available.accelerators)
+            return a.available.accelerators < b.available.accelerators;
+        return a.available.cpuMilli < b.available.cpuMilli;
+    });
+    std::vector<std::size_t> chosen;
+    for (const candidate &one : candidates) {
+        for (std::uint32_t i = 0; i < one.capacity && chosen.size() < unit.members; ++i)
+            chosen.push_back(one.room);
+    }
+    return chosen;
+}
+
+std::vector<std::string> plan_maker::racksOf(const waiting_unit &unit) const
+{
+    if (!unit.step->dataRack.empty())
+        return {unit.step->dataRack};
+    std::vector<std::string> racks;
+    for (const worker_room &room : rooms) {
+        if (std::find(racks.begin(), racks.end(), room.worker->rack) == racks.end())
+            racks.push_back(room.worker->rack);
+    }
+    return racks;
+}
+
+bool plan_maker::rackCouldHold(const waiting_unit &unit, const std::string &rack) const
+{
+    std::uint32_t total = 0;
+    for (const worker_room &room : rooms) {
+        if (room.worker->rack == rack && room.worker->service == unit.queue->service
+            && !room.worker->draining && !input.silent.contains(room.agent))
+            total += capacityFor(unit, room, room.worker->capacity);
+    }
+    return total >= unit.members;
+}
+
+std::vector<std::size_t> plan_maker::fitNear(const waiting_unit &unit,
+                                             const room_measure &available) const
+{
+    std::vector<std::size_t> best;
+    std::int64_t least = std::numeric_limits<std::int64_t>::max();
+    for (const std::string &rack : racksOf(unit)) {
+        const auto inRack = [&rack](const worker_room &room) { return room.worker->rack == rack; };
+        const std::vector<std::size_t> chosen = fit(unit, inRack, available);
+        if (chosen.empty())
+            continue;
+        std::int64_t left = 0;
+        for (const worker_room &room : rooms)
+            left += inRack(room) ? available(room).accelerators : 0;
+        if (left < least) {
+            least = left;
+            best = chosen;
+        }
+    }
+    return best;
+}
+
+void plan_maker::reserve(const waiting_unit &unit, const std::vector<std::size_t> &chosen)
+{
+    for (const std::size_t room : chosen) {
+        rooms[room].free -= unit.step->item;
+        if (unit.step->fills)
+            rooms[room].free.cpuMilli += unit.step->item.cpuMilli;
+    }
+}
+
+void plan_maker::order(const waiting_unit &unit, const std::vector<std::size_t> &chosen)
+{
+    run_ordered ordered;
+    ordered.unit = unit.id;
+    ordered.run = unit.state->lastRun + 1;
+    ordered.gang = unit.step->gang;
+    ordered.payload = unit.job->job.payload;
+    ordered.checkpoint = unit.state->checkpoint;
+    ordered.orderedMs = input.nowMs;
+    std::uint32_t index = unit.id.index;
+    for (const std::size_t room : chosen)
+        ordered.members.push_back({index++, rooms[room].agent, rooms[room].worker->bornMs});
+    reserve(unit, chosen);
+    decisions.emplace_back(std::move(ordered));
+}
+
+void plan_maker::place(const waiting_unit &unit)
+{
+    if (unit.queue->needsAdvice)
+        return; // never accepted: see the entry's check of a submission
+    const auto freeRoom = [](const worker_room &room) { return room.free; };
+    const auto soonFree = [](const worker_room &room) {
+        resources sum = room.free;
+        return sum += room.releasing;
+    };
+    const auto anywhere = [](const worker_room &) { return true; };
+    const bool wantsRack = unit.step->sameRack || !unit.step->dataRack.empty();
+    const bool urgent = unit.queue->priority == 0;
+    if (wantsRack) {
+        const std::vector<std::size_t> near = fitNear(unit, freeRoom);
+        if (!near.empty()) {
+            order(unit, near);
+            return;
+        }
+        const std::vector<std::string> racks = racksOf(unit);
+        const bool possible
+            = std::any_of(racks.begin(), racks.end(),
+                          [&](const std::string &rack) { return rackCouldHold(unit, rack); });
+        if (possible && urgent && preempt(unit))
+            return;
+        if (possible && !urgent && unit.lateness == 0)
+            return; // the wait for a rack is shorter than the slowdown elsewhere
+    }
+    const std::vector<std::size_t> chosen = fit(unit, anywhere, freeRoom);
+    if (!chosen.empty()) {
+        order(unit, chosen);
+        return;
+    }
+    if (!urgent)
+        return;
+    const std::vector<std::size_t> soon = fit(unit, anywhere, soonFree);
+    if (!soon.empty())
+        reserve(unit, soon);
+    else
+        preempt(unit);
+}
+
+double plan_maker::lossOf(const unit_id &unit) const
+{
+    const job_state &job = *input.state->find(unit.job);
+    const batch_step &step = job.job.steps[unit.step];
+    const run_state &run = *input.state->findUnit(unit)->active;
+    const double elapsed = static_cast<double>(input.nowMs - run.orderedMs) / 1000.0;
+    const double lost = step.checkpointed ? std::min(elapsed, CheckpointLossSeconds) : elapsed;
+    return std::max(lost, LeastLossSeconds) * weightOf(step.item)
+        * static_cast<double>(run.members.size());
+}
+
+std::int64_t plan_maker::urgentUse(const team_id &team) const
+{
+    std::int64_t used = 0;
+    for (const auto &[id, job] : input.state->jobs()) {
+        const queue_policy *queue = input.config->findQueue(job.job.queue);
+        if (job.job.team != team || queue == nullptr || queue->priority != 0)
+            continue;
+        for (const unit_id &unit : job.activeUnits)
+            used += job.job.steps[unit.step].item.accelerators
+                * static_cast<std::int64_t>(input.state->findUnit(unit)->active->members.size());
+    }
+    return used;
+}
+
+bool plan_maker::mayPreempt(const waiting_unit &unit, const job_state &victim) const
+{
+    const queue_policy *queue = input.config->findQueue(victim.job.queue);
+    if (queue == nullptr || queue->priority > 0)
+        return true;
+    // Urgent work of a team beyond its guarantee gives way to urgent work within one.
+    const batch_team *own = input.config->findTeam(unit.job->job.team);
+    const batch_team *other = input.config->findTeam(victim.job.team);
+    if (own == nullptr || other == nullptr || own->id == other->id)
+        return false;
+    const std::int64_t need = unit.step->item.accelerators * unit.members;
+    return urgentUse(own->id) + need <= own->guaranteedAccelerators
+        && urgentUse(other->id) > other->guaranteedAccelerators;
+}
+
+std::vector<plan_maker::victim> plan_maker::victimsOn(const waiting_unit &unit,
+                                                      const worker_room &room) const
+{
+    std::vector<victim> victims;
+    for (const unit_id &id : input.state->runsOn(room.agent)) {
+        const job_state &job = *input.state->find(id.job);
+        const run_state &run = *input.state->findUnit(id)->active;
+        if (run.stopping || job.isOver() || stopped.contains(id) || !mayPreempt(unit, job))
+            continue;
+        victims.push_back({id, lossOf(id)});
+    }
+    std::sort(victims.begin(), victims.end(),
+              [](const victim &a, const victim &b) { return a.cost < b.cost; });
+    return victims;
+}
+
+plan_maker::eviction_plan plan_maker::evict(const waiting_unit &unit,
+                                            const room_filter &accept) const
+{
+    eviction_plan result;
+    std::vector<resources> available(rooms.size());
+    std::vector<std::uint32_t> placed(rooms.size(), 0);
+    for (std::size_t i = 0; i < rooms.size(); ++i) {
+        available[i] = rooms[i].free;
+        available[i] += rooms[i].releasing;
+    }
+    const auto release = [&](const unit_id &id, std::vector<resources> *room) {
+        const resources need = input.state->find(id.job)->job.steps[id.step].item;
+        for (const member_state &member : input.state->findUnit(id)->active->members) {
+            for (std::size_t i = 0; i < rooms.size(); ++i) {
+                if (rooms[i].agent == member.member.agent && !member.end)
+                    (*room)[i] += need;
+            }
+        }
+    };
+    while (result.chosen.size() < unit.members) {
+        std::size_t bestRoom = rooms.size();
+        double bestCost = std::numeric_limits<double>::max();
+        std::vector<unit_id> bestVictims;
+        for (std::size_t i = 0; i < rooms.size(); ++i) {
+            if (!isSuitable(unit, rooms[i]) || !accept(rooms[i]))
+                continue;
+            if (unit.step->maxPerWorker > 0
+                && capacityFor(unit, rooms[i], rooms[i].worker->capacity) <= placed[i])
+                continue;
+            std::vector<resources> trial = available;
+            std::vector<unit_id> chosen;
+            double cost = 0;
+            for (const victim &one : victimsOn(unit, rooms[i])) {
+                if (fits(trial[i], unit.step->item))
+                    break;
+                if (result.victims.contains(one.unit))
+                    continue;
+                release(one.unit, &trial);
+                chosen.push_back(one.unit);
+                cost += one.cost;
+            }
+            if (fits(trial[i], unit.step->item) && cost < bestCost) {
+                bestRoom = i;
+                bestCost = cost;
+                bestVictims = chosen;
+            }
+        }
+        if (bestRoom == rooms.size())
+            return {};
+        for (const unit_id &id : bestVictims) {
+            release(id, &available);
+            result.victims.insert(id);
+        }
+        result.cost += bestCost;
+        available[bestRoom] -= unit.step->item;
+        ++placed[bestRoom];
+        result.chosen.push_back(bestRoom);
+    }
+    return result;
+}
+
+bool plan_maker::preempt(const waiting_unit &unit)
+{
+    eviction_plan best;
+    if (unit.step->sameRack || !unit.step->dataRack.empty()) {
+        for (const std::string &rack : racksOf(unit)) {
+            eviction_plan one = evict(
+                unit, [&rack](const worker_room &room) { return room.worker->rack == rack; });
+            if (!one.chosen.empty() && (best.chosen.empty() || one.cost < best.cost))
+                best = std::move(one);
+        }
+    }
+    if (best.chosen.empty() && !(unit.step->sameRack && unit.lateness == 0))
+        best = evict(unit, [](const worker_room &) { return true; });
+    if (best.chosen.empty())
+        return false;
+    for (const unit_id &victim : best.victims)
+        stop(victim);
+    reserve(unit, best.chosen);
+    return true;
+}
+
+} // namespace hyssoppond::batch
--- /dev/null
+++ b/src/batch/plan_maker.h
@@ -0,0 +1,68 @@
+/// @file One pass of the scheduler over all waiting units.
+#pragma once
+
+#include "hyssoppond/batch/batch_scheduler_base.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace hyssoppond::batch {
+
+/// Builds the decisions of one plan.
+struct plan_maker
+{
+    const plan_input &input;
+    const scheduler_options &options;
+    std::vector<worker_room> rooms = {};
+    std::vector<batch_record> decisions = {};
+    std::set<unit_id> stopped = {}; ///< runs stopped by this plan
+
+    /// Collects the workers and what runs on them.
+    void measureRooms(const batch_scheduler &scheduler);
+    /// Stops gangs that lost a member, runs on leaving workers and runs of failed jobs.
+    void stopBroken();
+    /// Gives up jobs with a unit that used all its attempts.
+    void failHopeless();
+    std::vector<waiting_unit> waitingUnits() const;
+    void place(const waiting_unit &unit);
+
+private:
+    using room_filter = std::function<bool(const worker_room &)>;
+    using room_measure = std::function<resources(const worker_room &)>;
+
+    void addUnits(const job_state &job, std::vector<waiting_unit> *units) const;
+    bool isSuitable(const waiting_unit &unit, const worker_room &room) const;
+    std::uint32_t capacityFor(const waiting_unit &unit, const worker_room &room,
+                              const resources &available) const;
+    /// Indexes of the rooms for the members of `unit`, or none.
+    std::vector<std::size_t> fit(const waiting_unit &unit, const room_filter &accept,
+                                 const room_measure &available) const;
+    std::vector<std::size_t> fitNear(const waiting_unit &unit, const room_measure &available) const;
+    std::vector<std::string> racksOf(const waiting_unit &unit) const;
+    bool rackCouldHold(const waiting_unit &unit, const std::string &rack) const;
+    void order(const waiting_unit &unit, const std::vector<std::size_t> &chosen);
+    void reserve(const waiting_unit &unit, const std::vector<std::size_t> &chosen);
+    bool preempt(const waiting_unit &unit);
+
+    struct victim
+    {
+        unit_id unit;
+        double cost = 0;
+    };
+    struct eviction_plan
+    {
+        std::vector<std::size_t> chosen;
+        std::set<unit_id> victims;
+        double cost = 0;
+    };
+
+    std::vector<victim> victimsOn(const waiting_unit &unit, const worker_room &room) const;
+    eviction_plan evict(const waiting_unit &unit, const room_filter &accept) const;
+    double lossOf(const unit_id &unit) const;
+    bool mayPreempt(const waiting_unit &unit, const job_state &victim) const;
+    std::int64_t urgentUse(const team_id &team) const;
+    void stop(const unit_id &unit);
+};
+
+} // namespace hyssoppond::batch
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -6,6 +6,7 @@
 #include "hyssoppond/platform/http_log_port.h"
 #include "hyssoppond/platform/http_runner_port.h"
 #include "hyssoppond/platform/http_worker_port.h"
+#include "platform/platform_node.h"
 
 #include <absl/strings/str_format.h>
 #include <absl/time/clock.h>
@@ -212,8 +213,43 @@
     return serve(&node, values, signals);
 }
 
+/// Blocked in all threads, so that one place takes them.
+void blockSignals(sigset_t *signals)
+{
+    sigemptyset(signals);
+    sigaddset(signals, SIGTERM);
+    sigaddset(signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+}
+
+/// The role in the arguments "--role ROLE" at the users' platform, where all other settings come
+/// from the platform's file.
+std::string roleAtPlatform(int argc, char **argv)
+{
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (arguments.size() == 2 && arguments[0] == "--role"
+        && (arguments[1] == "entry" || arguments[1] == "agent"))
+        return arguments[1];
+    return "";
+}
+
 int run(int argc, char **argv)
 {
+    if (const auto path = processEnvironment(platform::SettingsVariable)) {
+        const std::string role = roleAtPlatform(argc, argv);
+        if (role.empty()) {
+            std::cerr << "with " << platform::SettingsVariable
+                      << " the only argument is --role entry or --role agent\n";
+            return 2;
+        }
+        sigset_t signals;
+        blockSignals(&signals);
+        sigaddset(&signals, SIGHUP);
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+        return platform::runAtPlatform(role, *path);
+    }
     std::vector<char *> arguments;
     bool checkOnly = false;
     for (int i = 0; i < argc; ++i) {
@@ -243,14 +279,8 @@
         std::cout << values->describe();
         return 0;
     }
-    // Blocked in all threads, so that only serve() takes them.
     sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    curl_global_init(CURL_GLOBAL_DEFAULT);
+    blockSignals(&signals);
     startLog(LogLevelNames.find(values->text("log-level")).value_or(log_level::Info),
              values->text("name"), values->text("zone"));
     return values->text("role") == "entry" ? serveEntry(*values, signals)
--- a/src/journal/cluster_state.cpp
+++ b/src/journal/cluster_state.cpp
@@ -2,7 +2,7 @@
 #include "hyssoppond/journal/cluster_state_base.h"
 
 #include "hyssoppond/journal/record_codec_func.h"
-#include "sealed_archive_func.h"
+#include "hyssoppond/base/sealed_archive_func.h"
 #include "verdict_func.h"
 
 #include <algorithm>
--- a/src/journal/config_gossip.cpp
+++ b/src/journal/config_gossip.cpp
@@ -1,7 +1,7 @@
 /// @file Implementation of the dissemination of configuration.
 #include "hyssoppond/journal/config_gossip_base.h"
 
-#include "sealed_archive_func.h"
+#include "hyssoppond/base/sealed_archive_func.h"
 
 #include <algorithm>
 
--- a/src/journal/record_codec.cpp
+++ b/src/journal/record_codec.cpp
@@ -1,7 +1,7 @@
 /// @file Implementation of the record codec.
 #include "hyssoppond/journal/record_codec_func.h"
 
-#include "sealed_archive_func.h"
+#include "hyssoppond/base/sealed_archive_func.h"
 
 namespace hyssoppond::journal {
 
--- /dev/null
+++ b/src/loop/http_client.cpp
@@ -0,0 +1,195 @@
+/// @file Implementation of the HTTP client on curl's multi interface.
+#include "hyssoppond/loop/http_client_base.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace hyssoppond {
+
+namespace {
+
+/// Unanswered data closes a connection after this time in milliseconds. A peer without power
+/// sends no reset, and a connection to it would hang.
+constexpr int UnansweredDataMs = 4'000;
+
+/// Handles that are kept for reuse.
+constexpr std::size_t MostIdleHandles = 8;
+
+/// Shortest connect timeout in milliseconds: one lost packet is sent again after 1 s.
+constexpr std::int64_t LongestConnectMs = 1'500;
+
+std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *body)
+{
+    static_cast<std::string *>(body)->append(data, size * count);
+    return size * count;
+}
+
+int setSocketOptions(void * /*context*/, curl_socket_t socket, curlsocktype /*purpose*/)
+{
+    const int timeout = UnansweredDataMs;
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+    return CURL_SOCKOPT_OK;
+}
+
+} // namespace
+
+struct http_client::transfer
+{
+    http_call call;
+    http_reply reply;
+    std::function<void(http_reply)> done;
+    curl_slist *headers = nullptr;
+
+    ~transfer() { curl_slist_free_all(headers); }
+};
+
+http_client::http_client(event_loop *loop)
+    : m_loop(loop)
+    , m_multi(curl_multi_init())
+{
+    if (m_multi == nullptr)
+        throw std::runtime_error("curl_multi_init failed; check the memory limit");
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &http_client::onSocket);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &http_client::onTimer);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+}
+
+http_client::~http_client()
+{
+    for (auto &[easy, current] : m_transfers) {
+        curl_multi_remove_handle(m_multi, easy);
+        curl_easy_cleanup(easy);
+    }
+    for (CURL *easy : m_idle)
+        curl_easy_cleanup(easy);
+    m_loop->cancel(m_timer);
+    curl_multi_cleanup(m_multi);
+}
+
+void http_client::send(const http_call &call, std::function<void(http_reply)> done)
+{
+    CURL *easy = nullptr;
+    if (m_idle.empty()) {
+        easy = curl_easy_init();
+    } else {
+        easy = m_idle.back();
+        m_idle.pop_back();
+        curl_easy_reset(easy);
+    }
+    auto current = std::make_unique<transfer>();
+    current->call = call;
+    current->done = std::move(done);
+    for (const std::string &header : call.headers)
+        current->headers = curl_slist_append(current->headers, header.c_str());
+    // curl would wait a second for "100 Continue" before a larger body.
+    current->headers = curl_slist_append(current->headers, "Expect:");
+    if (!call.contentType.empty())
+        current->headers
+            = curl_slist_append(current->headers, ("Content-Type: " + call.contentType).c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, current->headers);
+    curl_easy_setopt(easy, CURLOPT_URL, current->call.url.c_str());
+    if (call.method != "GET") {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, current->call.body.data());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(current->call.body.size()));
+    }
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &current->reply.body);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &setSocketOptions);
+    if (call.freshConnection)
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    const std::int64_t leftMs = std::max<std::int64_t>(
+        1, absl::ToInt64Milliseconds(call.deadline - event_loop::steadyNow()));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(leftMs));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(std::min(leftMs, LongestConnectMs)));
+    m_transfers[easy] = std::move(current);
+    curl_multi_add_handle(m_multi, easy);
+}
+
+int http_client::onSocket(CURL * /*easy*/, curl_socket_t socket, int what, void *self,
+                          void * /*socketData*/)
+{
+    auto *client = static_cast<http_client *>(self);
+    if (what == CURL_POLL_REMOVE) {
+        client->m_loop->unwatch(socket);
+        return 0;
+    }
+    std::uint32_t events = 0;
+    if ((what & CURL_POLL_IN) != 0)
+        events |= EPOLLIN;
+    if ((what & CURL_POLL_OUT) != 0)
+        events |= EPOLLOUT;
+    client->m_loop->watch(socket, events, [client, socket](std::uint32_t ready) {
+        int flags = 0;
+        if ((ready & (EPOLLIN | EPOLLHUP)) != 0)
+            flags |= CURL_CSELECT_IN;
+        if ((ready & EPOLLOUT) != 0)
+            flags |= CURL_CSELECT_OUT;
+        if ((ready & EPOLLERR) != 0)
+            flags |= CURL_CSELECT_ERR;
+        client->act(socket, flags);
+    });
+    return 0;
+}
+
+int http_client::onTimer(CURLM * /*multi*/, long timeoutMs, void *self)
+{
+    auto *client = static_cast<http_client *>(self);
+    client->m_loop->cancel(client->m_timer);
+    client->m_timer = 0;
+    if (timeoutMs >= 0) {
+        client->m_timer
+            = client->m_loop->callAt(event_loop::steadyNow() + absl::Milliseconds(timeoutMs),
+                                     [client] { client->act(CURL_SOCKET_TIMEOUT, 0); });
+    }
+    return 0;
+}
+
+void http_client::act(curl_socket_t socket, int events)
+{
+    int running = 0;
+    curl_multi_socket_action(m_multi, socket, events, &running);
+    collect();
+}
+
+void http_client::collect()
+{
+    int left = 0;
+    while (CURLMsg *message = curl_multi_info_read(m_multi, &left)) {
+        if (message->msg != CURLMSG_DONE)
+            continue;
+        CURL *easy = message->easy_handle;
+        const CURLcode code = message->data.result;
+        const auto found = m_transfers.find(easy);
+        if (found == m_transfers.end())
+            continue;
+        const std::unique_ptr<transfer> current = std::move(found->second);
+        m_transfers.erase(found);
+        if (code == CURLE_OK) {
+            long status = 0;
+            curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+            current->reply.status = static_cast<int>(status);
+        } else {
+            curl_off_t connected = 0;
+            curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &connected);
+            current->reply.unsent = connected == 0;
+            current->reply.problem = curl_easy_strerror(code);
+        }
+        curl_multi_remove_handle(m_multi, easy);
+        if (m_idle.size() < MostIdleHandles)
+            m_idle.push_back(easy);
+        else
+            curl_easy_cleanup(easy);
+        current->done(std::move(current->reply));
+    }
+}
+
+} // namespace hyssoppond
