Read the time of day from the system clock at the platform

Cause: absl::Now() interpolates with the cycle counter, which runs at another rate in the platform's machines, so agents took fresh gang orders for late ones and refused them; the store answers a long read of an empty topic at once. Ruled out: refusals by the workers (no start was sent). Change: event_loop::dayTime on the system clock; lateness of a gang order by the steady clock since it was read; a pause after an empty read that did not wait.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -60,7 +60,8 @@
     {
         std::string payload;
         std::string checkpoint;
-        unix_ms orderedMs = 0;
+        absl::Time receivedAt; ///< when the order was read
+        bool stale = false;    ///< the order may be much older than `receivedAt`
         unix_ms bornMs = 0; ///< life of the worker that the order is for
         bool gang = false;
         bool unwanted = false; ///< to be stopped
@@ -80,8 +81,8 @@
     // Journal.
     void onLoaded(const std::vector<stored_record> &records);
     void onRecords(const std::vector<stored_record> &records);
-    void applyRecord(const stored_record &stored);
-    void onOrdered(const run_ordered &ordered);
+    void applyRecord(const stored_record &stored, bool stale);
+    void onOrdered(const run_ordered &ordered, bool stale);
     void endLocally(const item_run &run);
     void markUnwanted(const job_id &job);
     void announce();
--- a/include/hyssoppond/loop/event_loop_base.h
+++ b/include/hyssoppond/loop/event_loop_base.h
@@ -27,6 +27,9 @@
 
     /// Time on the steady clock; comparable only within this process.
     static absl::Time steadyNow();
+    /// Time of day by the operating system's clock. absl::Now() interpolates with the processor's
+    /// cycle counter, which runs at another rate where a machine is throttled or suspended.
+    static absl::Time dayTime();
 
     /// Calls `ready(events)` whenever `descriptor` has one of the epoll `events`; replaces an
     /// earlier watch of the same descriptor.
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,7 +1,6 @@
 /// @file JSON-line logs on log4cplus.
 #include "hyssoppond/base/log_func.h"
 
-#include <absl/time/clock.h>
 #include <absl/time/time.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -10,6 +9,7 @@
 #include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <memory>
 
 namespace hyssoppond {
@@ -65,7 +65,7 @@
     if (!root.isEnabledFor(levelOf(level)))
         return;
     nlohmann::ordered_json line;
-    line["time"] = absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(), absl::UTCTimeZone());
+    line["time"] = absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::FromChrono(std::chrono::system_clock::now()), absl::UTCTimeZone());
     line["level"] = std::string(LogLevelNames.name(level));
     line["process"] = processFields().process;
     line["zone"] = processFields().zone;
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -16,6 +16,10 @@
 /// A read of the journal proves for this long that nothing was missed; see ProofLifetime.
 constexpr absl::Duration JournalWait = absl::Milliseconds(1200);
 
+/// An order is fresh if the journal was read to its end this shortly before it; covers a long
+/// read and its way.
+constexpr absl::Duration LongestOrderGap = absl::Milliseconds(1700);
+
 /// A leaving time is announced again when it changes by more than this.
 constexpr unix_ms LeavingToleranceMs = 1'000;
 
@@ -182,7 +186,7 @@
     before.swap(m_runs);
     // Orders are rebuilt from the journal; what is known of their runs is kept.
     for (const stored_record &one : records)
-        applyRecord(one);
+        applyRecord(one, true);
     for (auto &[id, run] : m_runs) {
         const auto known = before.find(id);
         if (known == before.end())
@@ -197,12 +201,13 @@
 
 void batch_agent::onRecords(const std::vector<stored_record> &records)
 {
+    const bool stale = m_hooks.now() - m_follower.provenBefore() > LongestOrderGap;
     for (const stored_record &one : records)
-        applyRecord(one);
+        applyRecord(one, stale);
     tick();
 }
 
-void batch_agent::applyRecord(const stored_record &stored)
+void batch_agent::applyRecord(const stored_record &stored, bool stale)
 {
     if (stored.value.empty())
         return;
@@ -215,7 +220,7 @@
         return;
     }
     if (const auto *ordered = std::get_if<run_ordered>(&*decoded)) {
-        onOrdered(*ordered);
+        onOrdered(*ordered, stale);
     } else if (const auto *stopping = std::get_if<run_stopping>(&*decoded)) {
         m_stoppingRuns.insert({stopping->unit, stopping->run});
         for (auto &[id, run] : m_runs)
@@ -238,7 +243,7 @@
     }
 }
 
-void batch_agent::onOrdered(const run_ordered &ordered)
+void batch_agent::onOrdered(const run_ordered &ordered, bool stale)
 {
     for (const run_member &member : ordered.members) {
         if (member.agent != m_options.agent)
@@ -251,7 +256,8 @@
         local_run run;
         run.payload = ordered.payload;
         run.checkpoint = ordered.checkpoint;
-        run.orderedMs = ordered.orderedMs;
+        run.receivedAt = m_hooks.now();
+        run.stale = stale;
         run.bornMs = member.bornMs;
         run.gang = ordered.gang;
         run.unwanted = m_overJobs.contains(ordered.unit.job)
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -123,14 +123,13 @@
     }
     for (const item_run &id : due) {
         const local_run &run = m_runs.at(id);
-        const std::int64_t ageMs = absl::ToUnixMillis(m_hooks.dayTime()) - run.orderedMs;
-        const auto gangLimitMs = static_cast<std::int64_t>(
-            absl::ToDoubleMilliseconds(m_options.gangTimeout) * GangStartShare);
+        const bool late = run.stale
+            || m_hooks.now() - run.receivedAt > m_options.gangTimeout * GangStartShare;
         if (run.unwanted)
             reportNotStarted(id, "no longer wanted");
         else if (m_description->draining)
             reportNotStarted(id, "worker is draining");
-        else if (run.gang && ageMs > gangLimitMs)
+        else if (run.gang && late)
             reportNotStarted(id, "too late for its gang");
         else if (run.sends >= MostStartSends)
             reportNotStarted(id, "worker refuses it");
--- a/src/batch/log_follower.cpp
+++ b/src/batch/log_follower.cpp
@@ -11,6 +11,9 @@
 constexpr absl::Duration FirstRetry = absl::Milliseconds(100);
 constexpr absl::Duration LongestRetry = absl::Milliseconds(400);
 
+/// Between two reads that the store answered at once without a record.
+constexpr absl::Duration EmptyTopicPause = absl::Milliseconds(150);
+
 } // namespace
 
 log_follower::log_follower(follower_options options, store_port *store, loop_hooks hooks)
@@ -113,7 +116,9 @@
         return;
     }
     // An empty answer to a long read was given when its wait had passed.
-    const bool waited = m_failures == 0 && answer.records.empty() && answer.end <= m_position;
+    m_provenBefore = m_provenAt;
+    const bool nothing = answer.records.empty() && answer.end <= m_position;
+    const bool waited = m_failures == 0 && nothing && m_hooks.now() - sentAt >= m_options.wait;
     if (answer.records.empty() || answer.records.back().offset + 1 >= answer.end)
         m_provenAt = std::max(m_provenAt, waited ? sentAt + m_options.wait : sentAt);
     m_provenAt = std::min(m_provenAt, m_hooks.now());
@@ -125,8 +130,11 @@
         if (onReachable)
             onReachable(true);
     }
+    // The store does not wait in a topic that nobody has written to.
+    if (nothing && !waited)
+        m_retryAt = m_hooks.now() + EmptyTopicPause;
     handOver(answer.records, answer.end);
-    if (!m_busy && m_loaded)
+    if (!m_busy && m_loaded && m_hooks.now() >= m_retryAt)
         follow();
 }
 
--- a/src/loop/event_loop.cpp
+++ b/src/loop/event_loop.cpp
@@ -40,6 +40,11 @@
         + absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
 }
 
+absl::Time event_loop::dayTime()
+{
+    return absl::FromChrono(std::chrono::system_clock::now());
+}
+
 void event_loop::watch(int descriptor, std::uint32_t events,
                        std::function<void(std::uint32_t)> ready)
 {
