--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -77,6 +77,8 @@
 
     scheduler_options m_options;
     std::map<process_id, guard_entry> m_guards;
+    /// Workers that are being cleared for an urgent unit, one for each member.
+    std::map<unit_id, std::vector<process_id>> m_claims;
 };
 
 /// Longest chain of estimates over the steps from `from` on, in ms.
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -66,8 +66,12 @@
     maker.measureRooms(*this);
     maker.failHopeless();
     maker.stopBroken();
-    for (const waiting_unit &unit : maker.waitingUnits())
+    maker.claims = std::move(m_claims);
+    const std::vector<waiting_unit> units = maker.waitingUnits();
+    maker.reserveClaims(units);
+    for (const waiting_unit &unit : units)
         maker.place(unit);
+    m_claims = std::move(maker.keptClaims);
     return std::move(maker.decisions);
 }
 
--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -11,6 +11,11 @@
 /// Seconds of work lost when a run with checkpoints is stopped: the restore and the order.
 constexpr double CheckpointLossSeconds = 0.3;
 
+/// Core-seconds that may be lost for an urgent unit beyond its team's guarantee: a base, and a
+/// multiple of its own work. Beyond this the loss costs the callers more than the unit gains.
+constexpr double PreemptionBase = 300.0;
+constexpr double PreemptionRatio = 2.5;
+
 /// Smallest loss of a run that is stopped, in seconds; keeps the number of victims low.
 constexpr double LeastLossSeconds = 0.2;
 
@@ -158,6 +163,73 @@
     }
 }
 
+void plan_maker::release(const waiting_unit &unit, const std::vector<std::size_t> &chosen)
+{
+    for (const std::size_t room : chosen) {
+        rooms[room].free += unit.step->item;
+        if (unit.step->fills)
+            rooms[room].free.cpuMilli -= unit.step->item.cpuMilli;
+    }
+}
+
+std::vector<std::size_t> plan_maker::claimedRooms(const waiting_unit &unit) const
+{
+    const auto claimed = claims.find(unit.id);
+    std::vector<std::size_t> chosen;
+    if (claimed == claims.end())
+        return chosen;
+    for (const process_id &agent : claimed->second) {
+        for (std::size_t i = 0; i < rooms.size(); ++i) {
+            if (rooms[i].agent == agent && isSuitable(unit, rooms[i]))
+                chosen.push_back(i);
+        }
+    }
+    if (chosen.size() != unit.members)
+        chosen.clear();
+    return chosen;
+}
+
+void plan_maker::reserveClaims(const std::vector<waiting_unit> &units)
+{
+    for (const waiting_unit &unit : units)
+        reserve(unit, claimedRooms(unit));
+}
+
+void plan_maker::claim(const waiting_unit &unit, const std::vector<std::size_t> &chosen)
+{
+    reserve(unit, chosen);
+    std::vector<process_id> agents;
+    agents.reserve(chosen.size());
+    for (const std::size_t room : chosen)
+        agents.push_back(rooms[room].agent);
+    keptClaims[unit.id] = std::move(agents);
+}
+
+bool plan_maker::useClaim(const waiting_unit &unit)
+{
+    const std::vector<std::size_t> chosen = claimedRooms(unit);
+    if (chosen.empty())
+        return false;
+    // The claim is part of what is taken from these rooms.
+    const auto holds = [&](const resources &room) {
+        return room.cpuMilli >= 0 && room.memoryMb >= 0 && room.accelerators >= 0;
+    };
+    bool now = true;
+    bool soon = true;
+    for (const std::size_t room : chosen) {
+        resources later = rooms[room].free;
+        later += rooms[room].releasing;
+        now = now && holds(rooms[room].free);
+        soon = soon && holds(later);
+    }
+    release(unit, chosen);
+    if (now)
+        order(unit, chosen);
+    else if (soon)
+        claim(unit, chosen);
+    return now || soon;
+}
+
 void plan_maker::order(const waiting_unit &unit, const std::vector<std::size_t> &chosen)
 {
     run_ordered ordered;
@@ -186,6 +258,8 @@
     const auto anywhere = [](const worker_room &) { return true; };
     const bool wantsRack = unit.step->sameRack || !unit.step->dataRack.empty();
     const bool urgent = unit.queue->priority == 0;
+    if (urgent && useClaim(unit))
+        return;
     if (wantsRack) {
         const std::vector<std::size_t> near = fitNear(unit, freeRoom);
         if (!near.empty()) {
@@ -210,7 +284,7 @@
         return;
     const std::vector<std::size_t> soon = fit(unit, anywhere, soonFree);
     if (!soon.empty())
-        reserve(unit, soon);
+        claim(unit, soon);
     else
         preempt(unit);
 }
@@ -246,15 +320,19 @@
     if (queue == nullptr || queue->priority > 0)
         return true;
     // Urgent work of a team beyond its guarantee gives way to urgent work within one.
-    const batch_team *own = input.config->findTeam(unit.job->job.team);
     const batch_team *other = input.config->findTeam(victim.job.team);
-    if (own == nullptr || other == nullptr || own->id == other->id)
-        return false;
-    const std::int64_t need = unit.step->item.accelerators * unit.members;
-    return urgentUse(own->id) + need <= own->guaranteedAccelerators
+    return other != nullptr && other->id != unit.job->job.team && isGuaranteed(unit)
         && urgentUse(other->id) > other->guaranteedAccelerators;
 }
 
+bool plan_maker::isGuaranteed(const waiting_unit &unit) const
+{
+    const batch_team *team = input.config->findTeam(unit.job->job.team);
+    return team != nullptr
+        && urgentUse(team->id) + unit.step->item.accelerators * unit.members
+            <= team->guaranteedAccelerators;
+}
+
 std::vector<plan_maker::victim> plan_maker::victimsOn(const waiting_unit &unit,
                                                       const worker_room &room) const
 {
@@ -347,9 +425,13 @@
         best = evict(unit, [](const worker_room &) { return true; });
     if (best.chosen.empty())
         return false;
+    const double work = static_cast<double>(unit.step->estimateMs) / 1000.0
+        * weightOf(unit.step->item) * static_cast<double>(unit.members);
+    if (!isGuaranteed(unit) && best.cost > PreemptionBase + PreemptionRatio * work)
+        return false;
     for (const unit_id &victim : best.victims)
         stop(victim);
-    reserve(unit, best.chosen);
+    claim(unit, best.chosen);
     return true;
 }
 
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -17,6 +17,9 @@
     std::vector<worker_room> rooms = {};
     std::vector<batch_record> decisions = {};
     std::set<unit_id> stopped = {}; ///< runs stopped by this plan
+    /// Claims of the plans before; those that still hold are kept.
+    std::map<unit_id, std::vector<process_id>> claims = {};
+    std::map<unit_id, std::vector<process_id>> keptClaims = {};
 
     /// Collects the workers and what runs on them.
     void measureRooms(const batch_scheduler &scheduler);
@@ -25,6 +28,8 @@
     /// Gives up jobs with a unit that used all its attempts.
     void failHopeless();
     std::vector<waiting_unit> waitingUnits() const;
+    /// Sets the room of claims aside, so that nothing else starts there.
+    void reserveClaims(const std::vector<waiting_unit> &units);
     void place(const waiting_unit &unit);
 
 private:
@@ -44,6 +49,12 @@
     void order(const waiting_unit &unit, const std::vector<std::size_t> &chosen);
     void reserve(const waiting_unit &unit, const std::vector<std::size_t> &chosen);
     bool preempt(const waiting_unit &unit);
+    void claim(const waiting_unit &unit, const std::vector<std::size_t> &chosen);
+    /// Starts the unit on its claimed workers or goes on waiting for them; false if that cannot be.
+    bool useClaim(const waiting_unit &unit);
+    /// Indexes of the claimed rooms, or none if one of them is gone or unsuitable.
+    std::vector<std::size_t> claimedRooms(const waiting_unit &unit) const;
+    void release(const waiting_unit &unit, const std::vector<std::size_t> &chosen);
 
     struct victim
     {
@@ -62,6 +73,8 @@
     double lossOf(const unit_id &unit) const;
     bool mayPreempt(const waiting_unit &unit, const job_state &victim) const;
     std::int64_t urgentUse(const team_id &team) const;
+    /// The unit's team uses no more than its guarantee with it.
+    bool isGuaranteed(const waiting_unit &unit) const;
     void stop(const unit_id &unit);
 };
 
--- a/src/loop/http_server.cpp
+++ b/src/loop/http_server.cpp
@@ -7,6 +7,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include <set>
 #include <stdexcept>
 
 namespace hyssoppond {
@@ -45,6 +46,7 @@
     int epoll = -1;
     std::size_t active = 0;
     bool closing = false;
+    std::set<exchange *> waiting = {}; ///< suspended until their answer is known
 
     static MHD_Result onRequest(void *self, MHD_Connection *connection, const char *url,
                                 const char *method, const char * /*version*/, const char *data,
@@ -117,6 +119,7 @@
         open->answer = std::move(answer);
         if (open->suspended) {
             open->suspended = false;
+            waiting.erase(open.get());
             MHD_resume_connection(open->connection);
             // The round that follows runs the daemon, which sends the answer.
             loop->callAt(event_loop::steadyNow(), [this] { runDaemon(); });
@@ -155,6 +158,7 @@
         dispatch(current);
         if (!current->answered) {
             current->suspended = true;
+            waiting.insert(current.get());
             MHD_suspend_connection(connection);
             return MHD_YES;
         }
@@ -191,6 +195,16 @@
 http_server::~http_server()
 {
     m_impl->loop->unwatch(m_impl->epoll);
+    // The library aborts the process if a connection is still suspended when it stops.
+    for (exchange *current : m_impl->waiting) {
+        current->suspended = false;
+        current->answered = true;
+        current->answer.status = MHD_HTTP_GATEWAY_TIMEOUT;
+        MHD_resume_connection(current->connection);
+    }
+    m_impl->waiting.clear();
+    m_impl->runDaemon();
+    m_impl->runDaemon();
     MHD_stop_daemon(m_impl->daemon);
 }
 
