Check the batch machinery by random schedules, and keep the runs of a worker's lives apart

Change: an agent records its session first, reads and clears the worker's lists in a new life before it announces it, acknowledges ends only to a life seen within 400 ms, and tells the worker so also after its last run; an order supersedes an older active run.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -85,8 +85,11 @@
     void onOrdered(const run_ordered &ordered, bool stale);
     void endLocally(const item_run &run);
     void markUnwanted(const job_id &job);
+    void recordSession();
     void announce();
     void beat();
+    /// The worker has restarted: nothing is ordered there until its lists were read.
+    void beginLife();
 
     // Runs.
     void startDue();
@@ -101,7 +104,8 @@
     // Lease and lists.
     bool wantsLook() const;
     void look();
-    void onLook(const look_answer &answer, std::uint64_t token, absl::Time sentAt);
+    void onLook(const look_answer &answer, std::uint64_t sent, std::uint64_t life,
+                absl::Time sentAt);
     void noteClock(const std::optional<std::int64_t> &clockMs);
     std::optional<std::int64_t> leaseUntilMs() const;
     std::uint64_t token() const;
@@ -118,26 +122,30 @@
     std::optional<worker_description> m_description;
     bool m_announceDue = false;
     bool m_announcing = false;
-    std::optional<std::uint64_t> m_announcedAt; ///< offset of the record for this life
+    bool m_announced = false;                 ///< for this life of the worker
+    std::optional<std::uint64_t> m_sessionAt; ///< offset of the record of this process
     std::uint64_t m_tokenStep = 0;
     bool m_evicted = false;
     absl::Time m_beatAt = absl::InfinitePast();
 
     std::map<item_run, local_run> m_runs;
     std::set<item_run> m_ended;   ///< with a record in the journal
+    std::set<item_run> m_voided;  ///< ordered for an earlier life of the worker
     std::set<job_id> m_overJobs;
     std::set<std::pair<unit_id, std::uint32_t>> m_stoppingRuns;
 
-    bool m_synced = false; ///< the worker's lists were read in its present life
+    bool m_synced = false; ///< the worker runs nothing that is not known, in its present life
     bool m_looking = false;
     bool m_lookFresh = false;
     absl::Time m_lookAt = absl::InfinitePast();
     absl::Time m_lastLookAt = absl::InfinitePast();
-    std::uint64_t m_acknowledged = 0;
+    std::uint64_t m_acknowledged = 0;     ///< ends up to this number are in the journal
+    std::uint64_t m_acknowledgedSent = 0; ///< and the worker was told so
+    absl::Time m_lifeSeenAt = absl::InfinitePast(); ///< last answer that named the life
+    std::uint64_t m_life = 0; ///< counts the lives of the worker that were seen
     std::uint32_t m_reporting = 0;
     std::optional<std::int64_t> m_clockMs;
     absl::Time m_clockReadAt;
-    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace hyssoppond::batch
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -108,17 +108,29 @@
     }
 };
 
-/// An agent started, or its worker restarted, started to drain or left.
+/// An agent's process started. The record's offset is the base of its fencing tokens.
+struct agent_started
+{
+    process_id agent;
+    incarnation_number incarnation = 0;
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(agent, incarnation);
+    }
+};
+
+/// A worker has started, restarted, started to drain or left. Runs that were ordered for another
+/// life of it are lost.
 struct agent_announced
 {
     process_id agent;
-    incarnation_number incarnation = 0; ///< of the agent's process
     bool hasWorker = false;             ///< false: the worker has left or is not known yet
     worker_description worker;
     template<class archive>
     void serialize(archive &ar)
     {
-        ar(agent, incarnation, hasWorker, worker);
+        ar(agent, hasWorker, worker);
     }
 };
 
@@ -148,7 +160,7 @@
 
 using batch_record
     = std::variant<job_submitted, job_cancelled, job_failed, run_ordered, run_stopping, run_ended,
-                   agent_announced, agent_evicted, decider_granted>;
+                   agent_started, agent_announced, agent_evicted, decider_granted>;
 
 /// Key under which the store keeps `record`, at most 255 bytes.
 std::string keyOf(const batch_record &record);
--- a/include/hyssoppond/batch/batch_state_base.h
+++ b/include/hyssoppond/batch/batch_state_base.h
@@ -108,6 +108,7 @@
     void on(const run_ordered &r);
     void on(const run_stopping &r);
     void on(const run_ended &r);
+    static void on(const agent_started &) { }
     void on(const agent_announced &r);
     void on(const agent_evicted &r);
     void on(const decider_granted &r);
--- a/include/hyssoppond/batch/item_worker_port.h
+++ b/include/hyssoppond/batch/item_worker_port.h
@@ -90,6 +90,7 @@
 {
     order_outcome outcome = order_outcome::NoAnswer;
     std::optional<std::int64_t> workerClockMs;
+    std::optional<unix_ms> bornMs; ///< life of the worker that answered
     std::vector<running_item> running;
     std::vector<ended_item> ended;
 };
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -52,6 +52,7 @@
     m_follower.onReachable = [this](bool reachable) {
         decided(reachable ? "store regained" : "store lost", "", "");
     };
+    recordSession();
 }
 
 void batch_agent::decided(const char *decision, const std::string &item,
@@ -61,13 +62,23 @@
         onDecision(decision, item, detail);
 }
 
+void batch_agent::recordSession()
+{
+    const batch_record record = agent_started {m_options.agent, m_options.incarnation};
+    m_writer.write({{keyOf(record), encodeRecord(record), 0}}, absl::InfiniteFuture(),
+                   [this](write_result what, std::uint64_t offset) {
+                       if (what == write_result::Written)
+                           m_sessionAt = offset;
+                   });
+}
+
 void batch_agent::tick()
 {
     m_follower.tick();
     m_writer.tick();
     if (m_announceDue && !m_announcing)
         announce();
-    if (m_follower.isLoaded() && m_announcedAt) {
+    if (m_follower.isLoaded() && m_announced) {
         startDue();
         stopDue();
         if (m_hooks.now() >= m_beatAt)
@@ -80,7 +91,7 @@
 absl::Time batch_agent::nextDeadline() const
 {
     absl::Time next = std::min(m_follower.nextDeadline(), m_writer.nextDeadline());
-    if (m_announcedAt)
+    if (m_announced)
         next = std::min(next, m_beatAt);
     if (wantsLook() && !m_looking)
         next = std::min(next, m_lookAt);
@@ -96,26 +107,40 @@
     if (!newLife && sameAnnouncement(*m_description, worker))
         return;
     m_description = worker;
-    m_announceDue = true;
     decided(newLife ? "worker found" : "worker changed", worker.worker,
             worker.draining ? "draining" : "ready");
-    if (newLife) {
-        m_announcedAt.reset();
-        m_synced = false;
-        m_acknowledged = 0;
-        m_clockMs.reset();
-        dropEarlierLives();
-    }
+    if (newLife)
+        beginLife();
+    else
+        m_announceDue = m_synced;
     tick();
 }
 
+void batch_agent::beginLife()
+{
+    ++m_life;
+    m_announced = false;
+    m_announceDue = false;
+    m_synced = false;
+    m_acknowledged = 0;
+    m_acknowledgedSent = 0;
+    m_lifeSeenAt = absl::InfinitePast();
+    m_clockMs.reset();
+    m_lookAt = m_hooks.now();
+    // An order to the life before may still arrive at this one.
+    supersedeOrders();
+    dropEarlierLives();
+}
+
 void batch_agent::onWorkerLeft(const std::string &worker)
 {
     if (!m_description || m_description->worker != worker)
         return;
     decided("worker left", worker, "");
     m_description.reset();
-    m_announcedAt.reset();
+    m_announced = false;
+    m_synced = false;
+    ++m_life;
     m_runs.clear(); // everything that ran there has ended with it
     m_announceDue = true;
     tick();
@@ -124,7 +149,10 @@
 void batch_agent::dropEarlierLives()
 {
     std::erase_if(m_runs, [this](const auto &entry) {
-        return entry.second.bornMs < m_description->bornMs;
+        const bool earlier = entry.second.bornMs < m_description->bornMs;
+        if (earlier)
+            m_voided.insert(entry.first);
+        return earlier;
     });
 }
 
@@ -139,24 +167,17 @@
     m_announcing = true;
     agent_announced record;
     record.agent = m_options.agent;
-    record.incarnation = m_options.incarnation;
     record.hasWorker = m_description.has_value();
     if (m_description)
         record.worker = *m_description;
     const batch_record content = record;
     m_writer.write({{keyOf(content), encodeRecord(content), 0}}, absl::InfiniteFuture(),
-                   [this, record](write_result what, std::uint64_t offset) {
+                   [this, life = m_life](write_result what, std::uint64_t /*offset*/) {
                        m_announcing = false;
-                       if (what != write_result::Written) {
+                       if (what != write_result::Written)
                            m_announceDue = true;
-                           return;
-                       }
-                       const bool current = m_description && record.hasWorker
-                           && record.worker.bornMs == m_description->bornMs;
-                       if (current && !m_announcedAt) {
-                           m_announcedAt = offset;
-                           m_tokenStep = 0;
-                       }
+                       else if (life == m_life && m_description)
+                           m_announced = true;
                    });
 }
 
@@ -248,11 +269,13 @@
     for (const run_member &member : ordered.members) {
         if (member.agent != m_options.agent)
             continue;
-        if (m_description && member.bornMs < m_description->bornMs)
-            continue;
         const item_run id {ordered.unit, member.index, ordered.run};
         if (m_ended.contains(id))
             continue;
+        if (m_description && member.bornMs < m_description->bornMs) {
+            m_voided.insert(id);
+            continue;
+        }
         local_run run;
         run.payload = ordered.payload;
         run.checkpoint = ordered.checkpoint;
@@ -281,7 +304,7 @@
 
 void batch_agent::prepareStop()
 {
-    if (m_announcedAt && !m_runs.empty())
+    if (m_synced && !m_runs.empty())
         look();
 }
 
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -22,13 +22,16 @@
 /// A lease is renewed after this time even while ends wait for the journal.
 constexpr absl::Duration LeaseRenewal = absl::Milliseconds(1500);
 
+/// An answer of the worker shows for so long in which life it is; it takes longer to restart.
+constexpr absl::Duration LifeConfirmedFor = absl::Milliseconds(400);
+
 /// A start needs a lease of at least this length, in ms, to be worth sending.
 constexpr std::int64_t ShortestLeaseMs = 1'000;
 
 /// Sends of a start before the agent reports that it did not start.
 constexpr std::uint32_t MostStartSends = 4;
 
-/// Bits of a fencing token that count the agent's own steps within one announcement.
+/// Bits of a fencing token that count the agent's own steps within one session.
 constexpr unsigned TokenStepBits = 10;
 
 /// Share of the gang timeout that is left for the order's way to all members.
@@ -44,7 +47,7 @@
 
 std::uint64_t batch_agent::token() const
 {
-    return ((*m_announcedAt + 1) << TokenStepBits) + m_tokenStep;
+    return ((*m_sessionAt + 1) << TokenStepBits) + m_tokenStep;
 }
 
 void batch_agent::supersedeOrders()
@@ -90,17 +93,16 @@
         const batch_record content = ended;
         records.push_back({keyOf(content), encodeRecord(content), 0});
     }
-    const std::optional<std::uint64_t> life = m_announcedAt;
     ++m_reporting;
     m_writer.write(std::move(records), absl::InfiniteFuture(),
-                   [this, ends = std::move(ends), acknowledge, life](write_result what,
+                   [this, ends = std::move(ends), acknowledge, life = m_life](write_result what,
                                                                      std::uint64_t /*offset*/) {
                        --m_reporting;
                        if (what != write_result::Written)
                            return; // only another process with this name could fence us
                        for (const run_ended &ended : ends)
                            endLocally({ended.unit, ended.member, ended.run});
-                       if (life == m_announcedAt)
+                       if (life == m_life)
                            m_acknowledged = std::max(m_acknowledged, acknowledge);
                        m_lookAt = m_hooks.now();
                    });
@@ -241,10 +243,12 @@
 
 bool batch_agent::wantsLook() const
 {
-    // Runs can be told from strays only when all orders before the announcement are known.
-    if (!m_announcedAt || !m_follower.isLoaded() || m_follower.position() <= *m_announcedAt)
+    // Runs can be told from strays only when all orders before this session are known.
+    if (!m_sessionAt || !m_follower.isLoaded() || m_follower.position() <= *m_sessionAt
+        || !m_description)
         return false;
-    return !m_synced || !m_runs.empty() || m_reporting != 0;
+    return !m_synced || !m_runs.empty() || m_reporting != 0
+        || m_acknowledged > m_acknowledgedSent;
 }
 
 void batch_agent::look()
@@ -262,14 +266,23 @@
     look_order order;
     order.leaseUntilMs = leaseUntilMs();
     order.fencingToken = token();
-    order.lastSeenEnd = m_acknowledged;
-    order.wait = m_synced && !uncertain && m_reporting == 0 ? LookWait : absl::ZeroDuration();
+    // The worker may have restarted since it was seen last, and its ends then count anew: ends that
+    // were never read must not be acknowledged by the numbers of the life before.
+    const bool sameLife = now - m_lifeSeenAt < LifeConfirmedFor;
+    order.lastSeenEnd = sameLife ? m_acknowledged : 0;
+    const bool mayWait = m_synced && !uncertain && m_reporting == 0 && sameLife
+        && m_acknowledged == m_acknowledgedSent;
+    order.wait = mayWait ? LookWait : absl::ZeroDuration();
     order.worker = m_description->worker;
     order.deadline = now + order.wait + OrderAnswer;
     order.freshConnection = m_lookFresh;
-    m_worker->look(std::move(order), [this, sent = token(), now](const look_answer &answer) {
+    const std::uint64_t lastSeen = order.lastSeenEnd;
+    m_worker->look(std::move(order), [this, sent = token(), life = m_life, now,
+                                       lastSeen](const look_answer &answer) {
         m_looking = false;
-        onLook(answer, sent, now);
+        if (answer.outcome == order_outcome::Done && life == m_life)
+            m_acknowledgedSent = std::max(m_acknowledgedSent, lastSeen);
+        onLook(answer, sent, life, now);
         tick();
     });
 }
@@ -280,10 +293,12 @@
         return listed;
     item_run gang = listed;
     gang.unit.index = 0; // the members of a gang share its unit
-    return m_runs.contains(gang) || m_ended.contains(gang) ? gang : listed;
+    return m_runs.contains(gang) || m_ended.contains(gang) || m_voided.contains(gang) ? gang
+                                                                                      : listed;
 }
 
-void batch_agent::onLook(const look_answer &answer, std::uint64_t sent, absl::Time sentAt)
+void batch_agent::onLook(const look_answer &answer, std::uint64_t sent, std::uint64_t life,
+                         absl::Time sentAt)
 {
     const absl::Time now = m_hooks.now();
     noteClock(answer.workerClockMs);
@@ -300,18 +315,26 @@
         m_lookAt = now + LookRetry;
         return;
     }
-    if (!m_announcedAt || (sent >> TokenStepBits) != (token() >> TokenStepBits))
+    if (!m_description || life != m_life)
         return; // asked for an earlier life
+    if (answer.bornMs && *answer.bornMs != m_description->bornMs) {
+        decided("worker restarted", m_description->worker, "seen in its list of runs");
+        m_description->bornMs = *answer.bornMs;
+        beginLife();
+        return;
+    }
+    m_lifeSeenAt = now;
     const bool firstLook = !m_synced;
-    m_synced = true;
+    bool strays = false;
     std::set<item_run> listed;
     for (const running_item &one : answer.running) {
         const item_run id = ownRun(one.run);
         listed.insert(id);
         const auto found = m_runs.find(id);
         if (found == m_runs.end()) {
-            // Given away, or of a job that is over.
+            // Given away, of a job that is over, or ordered for an earlier life.
             stop(id);
+            strays = true;
             continue;
         }
         local_run &run = found->second;
@@ -334,7 +357,9 @@
         const item_run id = ownRun(one.run);
         listed.insert(id);
         const auto found = m_runs.find(id);
-        if (found != m_runs.end() && found->second.state != phase::Reported)
+        const bool wanted = found != m_runs.end() && found->second.state != phase::Reported;
+        // An order for the life before may have been carried out in this one, to its end.
+        if (wanted || (one.how == run_end::Done && m_voided.contains(id)))
             ends.push_back(endOf(id, one.how, one.checkpoint));
     }
     if (!ends.empty())
@@ -354,7 +379,11 @@
         decided("run vanished", nameOf(id), "in neither list of the worker");
         report({endOf(id, run_end::Lapsed, "")}, 0);
     }
-    if (m_reporting != 0)
+    if (!m_synced && !strays && sent == token()) {
+        m_synced = true;
+        m_announceDue = true;
+    }
+    if (m_reporting != 0 || strays)
         m_lookAt = now + LookRetry;
 }
 
--- a/src/batch/batch_record.cpp
+++ b/src/batch/batch_record.cpp
@@ -34,6 +34,7 @@
         // Two writers have two keys, so that the first record of the two stays visible.
         return absl::StrCat(r.byDecider ? "l:" : "e:", toString(r.unit), ":", r.run, ":", r.member);
     }
+    std::string operator()(const agent_started &r) const { return "a:" + r.agent.str(); }
     std::string operator()(const agent_announced &r) const { return "n:" + r.agent.str(); }
     std::string operator()(const agent_evicted &r) const { return "v:" + r.agent.str(); }
     std::string operator()(const decider_granted & /*r*/) const { return "decider"; }
--- a/src/batch/batch_state.cpp
+++ b/src/batch/batch_state.cpp
@@ -115,8 +115,14 @@
 void batch_state::on(const run_ordered &r)
 {
     unit_state *unit = unitOf(r.unit);
-    if (unit == nullptr || unit->done || r.run <= unit->lastRun || unit->active)
+    if (unit == nullptr || unit->done || r.run <= unit->lastRun)
         return;
+    // A unit is ordered again only when its run is over. After a reload the announcement that
+    // ended that run may be replaced by a later one of the same agent.
+    for (std::size_t i = 0; unit->active && i < unit->active->members.size(); ++i) {
+        if (!unit->active->members[i].end)
+            endMember(r.unit, unit, &unit->active->members[i], run_end::Lost, "");
+    }
     unit->lastRun = r.run;
     unit->lastOrderedMs = r.orderedMs;
     run_state run;
--- /dev/null
+++ b/tests/batch_site_base.h
@@ -0,0 +1,240 @@
+/// @file A site in virtual time: entries, agents and workers over one fake store.
+#pragma once
+
+#include "hyssoppond/batch/batch_agent_base.h"
+#include "hyssoppond/batch/batch_entry_base.h"
+#include "hyssoppond/fakes/fake_item_worker_base.h"
+#include "hyssoppond/fakes/fake_store_base.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hyssoppond::batch {
+
+/// Drives the production state machines as the daemon's loop does.
+class batch_site
+{
+public:
+    explicit batch_site(std::uint64_t seed, std::size_t workers = 3, std::size_t entries = 2)
+        : clock(seed)
+        , store(&clock)
+        , history(&clock)
+    {
+        config.version = 1;
+        config.queues.push_back(queueOf("urgent", 0));
+        config.queues.push_back(queueOf("normal", 1));
+        config.services.push_back({"service", true});
+        config.teams.push_back({team_id("team"), {"key"}, 8});
+        store.put("op", "config", "1");
+        for (std::size_t i = 0; i < workers; ++i)
+            addWorker(i);
+        for (std::size_t i = 0; i < entries; ++i)
+            startEntry(absl::StrCat("entry-", i));
+    }
+
+    static queue_policy queueOf(const std::string &name, int priority)
+    {
+        queue_policy queue;
+        queue.name = name;
+        queue.host = "host";
+        queue.pathPrefix = "/" + name + "/";
+        queue.service = "service";
+        queue.priority = priority;
+        queue.maxAttempts = 3;
+        queue.stretch = 3.0;
+        queue.latencyGoalMs = 1'000;
+        return queue;
+    }
+
+    void startEntry(const std::string &name)
+    {
+        auto one = std::make_shared<entry_process>();
+        one->port = store.portOf(name, one->alive);
+        batch_entry_options options;
+        options.entry = process_id(name);
+        options.incarnation = ++m_incarnations;
+        options.configTopic = "op";
+        one->node = std::make_unique<batch_entry>(options, &one->port, hooks());
+        one->node->decodeConfig = [this](const stored_record &) { return config; };
+        one->node->onDecision = noteAs(name);
+        entries[name] = one;
+        drive(one);
+    }
+
+    void startAgent(const std::string &name)
+    {
+        auto one = std::make_shared<agent_process>();
+        one->port = store.portOf(name, one->alive);
+        one->worker = workers.at(name)->portTo(one->alive);
+        batch_agent_options options;
+        options.agent = process_id(name);
+        options.incarnation = ++m_incarnations;
+        one->node = std::make_unique<batch_agent>(options, &one->port, &one->worker, hooks());
+        one->node->onDecision = noteAs(name);
+        agents[name] = one;
+        drive(one);
+        heartbeat(name, one);
+    }
+
+    void kill(const std::string &name)
+    {
+        if (const auto found = agents.find(name); found != agents.end()) {
+            *found->second->alive = false;
+            agents.erase(found);
+        } else if (const auto other = entries.find(name); other != entries.end()) {
+            *other->second->alive = false;
+            entries.erase(other);
+        }
+    }
+
+    /// Submits to the entry `name` and returns the reply, which may come later.
+    std::shared_ptr<job_reply> submit(const std::string &name, const std::string &id,
+                                      const std::string &queue, const batch_step &step)
+    {
+        batch_job job;
+        job.payload = "payload";
+        job.steps.push_back(step);
+        return call(name, call_kind::Submit, "/" + queue + "/" + id, job);
+    }
+
+    std::shared_ptr<job_reply> call(const std::string &name, call_kind kind,
+                                    const std::string &path,
+                                    std::optional<batch_job> job = std::nullopt)
+    {
+        job_call request;
+        request.kind = kind;
+        request.host = "host";
+        request.path = path;
+        request.key = "key";
+        request.job = std::move(job);
+        request.deadline = clock.now() + absl::Seconds(3);
+        auto reply = std::make_shared<job_reply>();
+        reply->kind = reply_kind::Unknown;
+        const auto found = entries.find(name);
+        if (found != entries.end())
+            found->second->node->handle(request, [reply](const job_reply &r) { *reply = r; });
+        return reply;
+    }
+
+    static batch_step stepOf(std::uint32_t count, std::int64_t accelerators, bool gang)
+    {
+        batch_step step;
+        step.count = count;
+        step.item = {1'000, 1'000, accelerators};
+        step.estimateMs = 2'000;
+        step.gang = gang;
+        return step;
+    }
+
+    static std::string idOf(std::uint64_t number)
+    {
+        return absl::StrCat(absl::Hex(number, absl::kZeroPad16));
+    }
+
+    /// What was decided about `item` or about whole processes, for messages of failed checks.
+    std::string linesOf(const std::string &item) const
+    {
+        std::string text;
+        for (const auto &[about, line] : m_lines) {
+            if (about.find(item) != std::string::npos || about.find('.') == std::string::npos)
+                absl::StrAppend(&text, line, "\n");
+        }
+        return text;
+    }
+
+    struct entry_process
+    {
+        std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+        store_port port;
+        std::unique_ptr<batch_entry> node;
+        std::uint64_t wakeups = 0;
+    };
+    struct agent_process
+    {
+        std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+        store_port port;
+        item_worker_port worker;
+        std::unique_ptr<batch_agent> node;
+        std::uint64_t wakeups = 0;
+    };
+
+    virtual_clock clock;
+    fake_store store;
+    item_history history;
+    site_config config;
+    std::map<std::string, std::unique_ptr<fake_item_worker>> workers;
+    std::map<std::string, std::shared_ptr<agent_process>> agents;
+    std::map<std::string, std::shared_ptr<entry_process>> entries;
+
+private:
+    /// The daemon's loop wakes at deadlines and after each event; this one also looks often.
+    static constexpr absl::Duration Step = absl::Milliseconds(5);
+    static constexpr absl::Duration HeartbeatInterval = absl::Milliseconds(1500);
+
+    loop_hooks hooks()
+    {
+        return {[this] { return clock.now(); }, [this] { return clock.now(); },
+                [this] { return clock.random(); }};
+    }
+
+    void addWorker(std::size_t number)
+    {
+        const std::string name = absl::StrCat("agent-", number);
+        worker_description description;
+        description.worker = absl::StrCat("worker-", number);
+        description.service = "service";
+        description.zone = "zone";
+        description.kind = "a";
+        description.rack = absl::StrCat("rack-", number / 3);
+        description.labels = {"a", description.rack};
+        description.capacity = {64'000, 262'144, 8};
+        workers[name] = std::make_unique<fake_item_worker>(&clock, &history, description);
+        startAgent(name);
+    }
+
+    template<class process>
+    void drive(const std::shared_ptr<process> &one)
+    {
+        clock.every(Step, [one] {
+            if (!*one->alive)
+                return false;
+            one->node->tick();
+            return true;
+        });
+    }
+
+    void heartbeat(const std::string &name, const std::shared_ptr<agent_process> &one)
+    {
+        one->node->onHeartbeat(workers.at(name)->description());
+        clock.every(HeartbeatInterval, [this, name, one] {
+            if (!*one->alive)
+                return false;
+            if (!workers.at(name)->faults.unreachable)
+                one->node->onHeartbeat(workers.at(name)->description());
+            return true;
+        });
+    }
+
+    std::function<void(const char *, const std::string &, const std::string &)>
+    noteAs(const std::string &name)
+    {
+        return [this, name](const char *decision, const std::string &item,
+                            const std::string &detail) {
+            m_lines.emplace_back(item, absl::StrFormat("%7.3f %s: %s %s %s",
+                                                       absl::ToDoubleSeconds(clock.now() - m_began),
+                                                       name, decision, item, detail));
+        };
+    }
+
+    std::uint64_t m_incarnations = 0;
+    absl::Time m_began = clock.now();
+    std::vector<std::pair<std::string, std::string>> m_lines; ///< item and text
+};
+
+} // namespace hyssoppond::batch
--- /dev/null
+++ b/tests/batch_test.cpp
@@ -0,0 +1,390 @@
+/// @file Tests of batch jobs over several processes in virtual time. Each names its failure.
+#include "batch_site_base.h"
+
+#include "hyssoppond/batch/lease_rule_func.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace hyssoppond::batch {
+namespace {
+
+using testing::IsEmpty;
+
+/// Time until entries and agents have found each other and one entry decides.
+constexpr absl::Duration StartTime = absl::Seconds(5);
+
+job_status statusAt(batch_site *site, const std::string &entry, const std::string &id)
+{
+    const job_state *job = site->entries.at(entry)->node->state().find(job_id(id));
+    return job == nullptr ? job_status::Queued : job->status();
+}
+
+std::string deciderOf(const batch_site &site)
+{
+    for (const auto &[name, entry] : site.entries) {
+        if (entry->node->isDeciding())
+            return name;
+    }
+    return "";
+}
+
+class batch_test : public testing::Test
+{
+protected:
+    /// Starts a site and waits until it serves.
+    void start(std::uint64_t seed = 1, std::size_t workers = 3)
+    {
+        site = std::make_unique<batch_site>(seed, workers);
+        site->clock.runFor(StartTime);
+        ASSERT_NE(deciderOf(*site), "");
+    }
+
+    std::unique_ptr<batch_site> site;
+};
+
+// Guards against a path that accepts a job and never shows its end.
+TEST_F(batch_test, jobRunsAndIsShownCompletedAtEveryEntry)
+{
+    start();
+    const std::string id = batch_site::idOf(1);
+    const auto reply = site->submit("entry-0", id, "normal", batch_site::stepOf(4, 2, true));
+    site->clock.runFor(absl::Seconds(4));
+    EXPECT_EQ(reply->kind, reply_kind::Accepted);
+    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Completed);
+    EXPECT_EQ(statusAt(site.get(), "entry-1", id), job_status::Completed);
+    EXPECT_EQ(site->history.starts, 4U);
+}
+
+// Guards against two jobs of one id when the answer to the first submission was lost.
+TEST_F(batch_test, repeatedSubmissionAfterLostAnswerIsOneJob)
+{
+    start();
+    const std::string id = batch_site::idOf(2);
+    site->store.faults["entry-0"].loseAnswers = 1.0;
+    const auto first = site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+    site->clock.runFor(absl::Seconds(3));
+    EXPECT_EQ(first->kind, reply_kind::Unknown);
+    const auto second = site->submit("entry-1", id, "normal", batch_site::stepOf(1, 1, false));
+    site->store.faults["entry-0"].loseAnswers = 0.0;
+    site->clock.runFor(absl::Seconds(6));
+    EXPECT_EQ(second->kind, reply_kind::Accepted);
+    EXPECT_EQ(statusAt(site.get(), "entry-1", id), job_status::Completed);
+    EXPECT_EQ(site->history.starts, 1U);
+}
+
+// Guards against "refused" for a job that is recorded all the same.
+TEST_F(batch_test, refusedSubmissionIsNeverRecorded)
+{
+    start();
+    const std::string id = batch_site::idOf(3);
+    site->store.faults["entry-0"].refuse = true;
+    const auto reply = site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+    site->clock.runFor(absl::Seconds(3));
+    EXPECT_EQ(reply->kind, reply_kind::Refused);
+    EXPECT_GT(reply->retryAfter, absl::ZeroDuration());
+    site->store.faults["entry-0"].refuse = false;
+    site->clock.runFor(absl::Seconds(5));
+    EXPECT_EQ(site->history.starts, 0U);
+    EXPECT_EQ(site->entries.at("entry-1")->node->state().find(job_id(id)), nullptr);
+}
+
+// Guards against work that goes on after its job was cancelled.
+TEST_F(batch_test, cancelStopsRunsAndIsAcknowledged)
+{
+    start();
+    const std::string id = batch_site::idOf(4);
+    site->submit("entry-0", id, "normal", batch_site::stepOf(2, 1, false));
+    site->clock.runFor(absl::Seconds(1));
+    const auto reply = site->call("entry-1", call_kind::Cancel, "/normal/" + id);
+    site->clock.runFor(absl::Seconds(1));
+    EXPECT_EQ(reply->kind, reply_kind::Cancelled);
+    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Cancelled);
+    for (const auto &[name, worker] : site->workers)
+        EXPECT_EQ(worker->running(), 0U) << name;
+}
+
+// Guards against "no such job" at an entry that has not read the journal's last records.
+TEST_F(batch_test, statusAtAnotherEntryRightAfterTheAcceptance)
+{
+    start();
+    const std::string id = batch_site::idOf(5);
+    site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+    site->clock.runFor(absl::Milliseconds(9));
+    const auto reply = site->call("entry-1", call_kind::Status, "/normal/" + id);
+    const auto missing = site->call("entry-1", call_kind::Status, "/normal/" + batch_site::idOf(6));
+    site->clock.runFor(absl::Seconds(1));
+    EXPECT_EQ(reply->kind, reply_kind::Status);
+    EXPECT_EQ(missing->kind, reply_kind::NoJob);
+}
+
+// Guards against an agent that stops or repeats the runs of the process before it.
+TEST_F(batch_test, restartedAgentAdoptsTheRunsOfItsWorker)
+{
+    start(1, 1);
+    site->workers.at("agent-0")->itemTime = absl::Seconds(8);
+    const std::string id = batch_site::idOf(7);
+    site->submit("entry-0", id, "normal", batch_site::stepOf(3, 1, false));
+    site->clock.runFor(absl::Seconds(2));
+    site->kill("agent-0");
+    site->clock.runFor(absl::Seconds(3));
+    site->startAgent("agent-0");
+    site->clock.runFor(absl::Seconds(10));
+    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Completed);
+    EXPECT_EQ(site->history.starts, 3U);
+}
+
+// Guards against a site that decides nothing after its decider died.
+TEST_F(batch_test, anotherEntryDecidesAfterTheDeciderDied)
+{
+    start();
+    const std::string first = deciderOf(*site);
+    site->kill(first);
+    site->clock.runFor(absl::Seconds(3));
+    const std::string second = deciderOf(*site);
+    ASSERT_NE(second, "");
+    ASSERT_NE(second, first);
+    const std::string id = batch_site::idOf(8);
+    site->submit(second, id, "normal", batch_site::stepOf(1, 1, false));
+    site->clock.runFor(absl::Seconds(4));
+    EXPECT_EQ(statusAt(site.get(), second, id), job_status::Completed);
+}
+
+// Guards against work that is thrown away because the store is down for some seconds.
+TEST_F(batch_test, runsSurviveAnOutageOfTheStore)
+{
+    start();
+    for (auto &[name, worker] : site->workers)
+        worker->itemTime = absl::Seconds(11);
+    const std::string id = batch_site::idOf(9);
+    site->submit("entry-0", id, "normal", batch_site::stepOf(6, 2, false));
+    site->clock.runFor(absl::Seconds(1));
+    for (const char *name : {"agent-0", "agent-1", "agent-2", "entry-0", "entry-1"})
+        site->store.faults[name].silent = true;
+    site->clock.runFor(absl::Seconds(9));
+    for (auto &[name, fault] : site->store.faults)
+        fault.silent = false;
+    site->clock.runFor(absl::Seconds(6));
+    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Completed);
+    EXPECT_EQ(site->history.starts, 6U);
+}
+
+// Guards against a second run while an unreachable agent still extends its worker's lease.
+TEST_F(batch_test, runsOfASilentAgentAreGivenAwayAfterItsLastLease)
+{
+    start(1, 2);
+    site->workers.at("agent-0")->itemTime = absl::Seconds(40);
+    site->workers.at("agent-0")->clockRate = 1.0 - WorkerClockError;
+    site->workers.at("agent-1")->setDraining(0);
+    site->clock.runFor(absl::Seconds(2));
+    const std::string id = batch_site::idOf(10);
+    site->submit("entry-0", id, "normal", batch_site::stepOf(2, 2, false));
+    site->clock.runFor(absl::Seconds(2));
+    ASSERT_EQ(site->workers.at("agent-0")->running(), 2U);
+    site->store.faults["agent-0"].silent = true;
+    site->workers.at("agent-1")->restart();
+    site->clock.runFor(absl::Seconds(10));
+    EXPECT_EQ(site->history.starts, 2U) << "given away while the lease may still be extended";
+    site->clock.runFor(absl::Seconds(12));
+    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Completed);
+    EXPECT_THAT(site->history.breaches, IsEmpty());
+}
+
+// Guards against an eviction that throws away the work of an agent that comes back in time.
+TEST_F(batch_test, agentThatReturnsInTimeKeepsItsRuns)
+{
+    start(1, 2);
+    site->workers.at("agent-0")->itemTime = absl::Seconds(14);
+    site->workers.at("agent-1")->itemTime = absl::Seconds(14);
+    const std::string id = batch_site::idOf(11);
+    site->submit("entry-0", id, "normal", batch_site::stepOf(4, 4, false));
+    site->clock.runFor(absl::Seconds(1));
+    site->store.faults["agent-0"].silent = true;
+    site->clock.runFor(absl::Seconds(9));
+    site->store.faults["agent-0"].silent = false;
+    site->clock.runFor(absl::Seconds(10));
+    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Completed);
+    EXPECT_EQ(site->history.starts, 4U);
+}
+
+// Guards against jobs that are lost when all processes and workers lose power at once.
+TEST_F(batch_test, jobsAreCompletedAfterEverythingLostPower)
+{
+    start();
+    std::vector<std::string> ids;
+    for (std::uint64_t i = 0; i < 5; ++i) {
+        ids.push_back(batch_site::idOf(20 + i));
+        site->submit("entry-0", ids.back(), "normal", batch_site::stepOf(2, 1, false));
+    }
+    site->clock.runFor(absl::Seconds(1));
+    for (const char *name : {"agent-0", "agent-1", "agent-2", "entry-0", "entry-1"})
+        site->kill(name);
+    for (auto &[name, worker] : site->workers)
+        worker->restart();
+    site->clock.runFor(absl::Seconds(1));
+    for (const char *name : {"agent-0", "agent-1", "agent-2"})
+        site->startAgent(name);
+    site->startEntry("entry-0");
+    site->clock.runFor(absl::Seconds(12));
+    for (const std::string &id : ids)
+        EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Completed) << id;
+    EXPECT_THAT(site->history.breaches, IsEmpty());
+}
+
+// Guards against keys that stay in force at an entry that cannot read the configuration.
+TEST_F(batch_test, keysAreRefusedWithoutAProofOfTheConfiguration)
+{
+    start();
+    site->store.faults["entry-0"].silent = true;
+    // The long read that is under way may still be answered, and proves its time.
+    site->clock.runFor(absl::Seconds(5) + follower_options().wait);
+    const auto reply = site->call("entry-0", call_kind::Status, "/normal/" + batch_site::idOf(1));
+    EXPECT_EQ(reply->kind, reply_kind::Refused);
+}
+
+// Guards against units of lower priority that start in the room which is being cleared for an
+// urgent gang, so that it is cleared again and again (hunt-d6b2-3 of kivu-bells).
+TEST_F(batch_test, clearedRoomIsKeptForTheUrgentGang)
+{
+    start(1, 3);
+    for (auto &[name, worker] : site->workers)
+        worker->itemTime = absl::Seconds(6);
+    // Items of one accelerator fill all workers, and more of them wait.
+    for (std::uint64_t i = 0; i < 40; ++i)
+        site->submit("entry-0", batch_site::idOf(100 + i), "normal",
+                     batch_site::stepOf(1, 1, false));
+    site->clock.runFor(absl::Seconds(1));
+    const std::string id = batch_site::idOf(99);
+    site->submit("entry-0", id, "urgent", batch_site::stepOf(1, 8, true));
+    site->clock.runFor(absl::Seconds(1));
+    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Running);
+    site->clock.runFor(absl::Seconds(20));
+    EXPECT_LE(site->history.starts, 40U + 1U + 8U) << "more was stopped than one worker holds";
+}
+
+// Guards against a job whose item always fails and that is never given up.
+TEST_F(batch_test, jobFailsAfterAllAttempts)
+{
+    start();
+    for (auto &[name, worker] : site->workers)
+        worker->faults.failAll = true;
+    const std::string id = batch_site::idOf(12);
+    site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+    site->clock.runFor(absl::Seconds(60));
+    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Failed);
+    EXPECT_EQ(site->history.starts, 3U);
+}
+
+// Guards against a submission that is accepted and can never be carried out.
+TEST(batch_check_test, refusesStepsThatDependOnThemselves)
+{
+    batch_job job;
+    job.steps.push_back(batch_site::stepOf(1, 1, false));
+    job.steps[0].dependsOn = {0};
+    EXPECT_FALSE(checkJob(job).has_value());
+    job.steps[0].dependsOn.clear();
+    EXPECT_TRUE(checkJob(job).has_value());
+    job.steps[0].count = 0;
+    EXPECT_FALSE(checkJob(job).has_value());
+}
+
+// Guards against two runs of one item, or a run after its end, under random faults of all kinds.
+class batch_schedule_test : public testing::TestWithParam<std::uint64_t>
+{ };
+
+TEST_P(batch_schedule_test, noItemRunsTwice)
+{
+    batch_site site(GetParam(), 4, 3);
+    virtual_clock &clock = site.clock;
+    for (auto &[name, worker] : site.workers) {
+        worker->clockRate = 1.0 - WorkerClockError * clock.uniform();
+        worker->itemTime = absl::Seconds(1 + 4 * clock.uniform());
+    }
+    clock.runFor(StartTime);
+    const auto pick = [&clock](const char *kind, std::size_t count) {
+        return absl::StrCat(kind, clock.random() % count);
+    };
+    std::vector<std::string> ids;
+    constexpr int FaultSteps = 40;
+    for (int i = 0; i < FaultSteps; ++i) {
+        ids.push_back(batch_site::idOf(1'000 + static_cast<std::uint64_t>(i)));
+        const bool gang = clock.uniform() < 0.4;
+        site.submit(pick("entry-", 3), ids.back(), clock.uniform() < 0.3 ? "urgent" : "normal",
+                    batch_site::stepOf(1 + clock.random() % 4, 1 + clock.random() % 4, gang));
+        const std::string agent = pick("agent-", 4);
+        const std::string entry = pick("entry-", 3);
+        switch (clock.random() % 9) {
+        case 0:
+            site.kill(agent);
+            clock.after(absl::Seconds(3 * clock.uniform()), [&site, agent] {
+                if (!site.agents.contains(agent))
+                    site.startAgent(agent);
+            });
+            break;
+        case 1:
+            site.kill(entry);
+            clock.after(absl::Seconds(3 * clock.uniform()), [&site, entry] {
+                if (!site.entries.contains(entry))
+                    site.startEntry(entry);
+            });
+            break;
+        case 2:
+            site.workers.at(agent)->restart();
+            break;
+        case 3: {
+            const std::string cut = clock.uniform() < 0.5 ? agent : entry;
+            (clock.uniform() < 0.5 ? site.store.faults[cut].silent
+                                   : site.store.faults[cut].refuse)
+                = true;
+            clock.after(absl::Seconds(16 * clock.uniform()), [&site, cut] {
+                site.store.faults[cut].silent = false;
+                site.store.faults[cut].refuse = false;
+            });
+            break;
+        }
+        case 4:
+            site.store.faults[entry].loseAnswers = 0.4;
+            site.store.faults[entry].executeLate = 0.2;
+            clock.after(absl::Seconds(4), [&site, entry] {
+                site.store.faults[entry].loseAnswers = 0;
+                site.store.faults[entry].executeLate = 0;
+            });
+            break;
+        case 5:
+            site.workers.at(agent)->faults.executeLate = 0.3;
+            site.workers.at(agent)->faults.loseAnswers = 0.2;
+            clock.after(absl::Seconds(5), [&site, agent] {
+                site.workers.at(agent)->faults.executeLate = 0;
+                site.workers.at(agent)->faults.loseAnswers = 0;
+            });
+            break;
+        case 6:
+            site.workers.at(agent)->faults.unreachable = true;
+            clock.after(absl::Seconds(5 * clock.uniform()), [&site, agent] {
+                site.workers.at(agent)->faults.unreachable = false;
+            });
+            break;
+        default:
+            break;
+        }
+        clock.runFor(absl::Seconds(2 * clock.uniform()));
+    }
+    for (auto &[name, fault] : site.store.faults)
+        fault = {};
+    clock.runFor(absl::Seconds(90));
+    for (const std::string &breach : site.history.breaches)
+        ADD_FAILURE() << breach << "; now " << absl::FormatTime(clock.now()) << "\n" << site.linesOf(breach.substr(0, breach.find(' ')));
+    const batch_state &state = site.entries.begin()->second->node->state();
+    for (const std::string &id : ids) {
+        const job_state *job = state.find(job_id(id));
+        if (job == nullptr)
+            continue; // its submission was refused
+        EXPECT_EQ(job->status(), job_status::Completed) << site.linesOf(id);
+    }
+    EXPECT_GT(site.history.done, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, batch_schedule_test, testing::Range<std::uint64_t>(1, 31));
+
+} // namespace
+} // namespace hyssoppond::batch
