--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -97,6 +97,7 @@
     std::map<batch::item_run, run_entry> m_runs;
     std::map<std::string, std::uint32_t> m_highestOver; ///< runs that ended or were stopped
     std::uint64_t m_lastEnd = 0;
+    std::uint64_t m_lapsedAt = 0; ///< newest end before the lease last ran out
     std::vector<batch::ended_item> m_ended;
 };
 
--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -88,6 +88,7 @@
     m_highestOver.clear();
     m_token = 0;
     m_lastEnd = 0;
+    m_lapsedAt = 0;
     m_leaseUntilMs = 0;
     ++m_life;
     m_bornAt = m_clock->now();
@@ -118,6 +119,7 @@
 {
     if (clockMs() < m_leaseUntilMs)
         return;
+    m_lapsedAt = m_lastEnd; // acknowledging these ends later promises nothing
     std::vector<item_run> lapsed;
     for (const auto &[id, run] : m_runs)
         lapsed.push_back(id);
@@ -176,12 +178,11 @@
         return {order_outcome::OtherLife, clockMs()};
     if (!acceptsToken(order.fencingToken))
         return {order_outcome::StaleToken, clockMs()};
-    for (const auto &[id, run] : m_runs) {
-        if (nameOf(id) == nameOf(order.run) && id.run == order.run.run) {
-            end(id, run_end::Stopped);
-            break;
-        }
-    }
+    const auto found = std::find_if(m_runs.begin(), m_runs.end(), [&](const auto &entry) {
+        return entry.second.item == nameOf(order.run) && entry.first.run == order.run.run;
+    });
+    if (found != m_runs.end())
+        end(item_run(found->first), run_end::Stopped);
     std::uint32_t &over = m_highestOver[nameOf(order.run)];
     over = std::max(over, order.run.run);
     return {order_outcome::Done, clockMs()};
@@ -206,7 +207,8 @@
     std::erase_if(m_ended, [&](const batch::ended_item &one) {
         if (one.number > order.lastSeenEnd)
             return false;
-        m_history->noted(nameOf(one.run), one.how);
+        if (one.number > m_lapsedAt)
+            m_history->noted(nameOf(one.run), one.how);
         return true;
     });
     for (const auto &[id, run] : m_runs) {
