Leave accelerators free of other work for the next urgent jobs

Change: other work starts only where accelerators for 1.6 urgent jobs of the mean size of the last 10 s stay free.

--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -66,6 +66,7 @@
     maker.measureRooms(*this);
     maker.failHopeless();
     maker.stopBroken();
+    maker.measureHeadroom();
     maker.claims = std::move(m_claims);
     const std::vector<waiting_unit> units = maker.waitingUnits();
     maker.reserveClaims(units);
--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -16,6 +16,14 @@
 constexpr double PreemptionBase = 300.0;
 constexpr double PreemptionRatio = 2.5;
 
+/// Urgent jobs of this time set the headroom, in ms.
+constexpr unix_ms HeadroomWindowMs = 10'000;
+
+/// Urgent jobs of mean size that find room without a stop, and the largest share of all
+/// accelerators that is left free for them.
+constexpr double HeadroomJobs = 1.6;
+constexpr double HeadroomShare = 0.25;
+
 /// Smallest loss of a run that is stopped, in seconds; keeps the number of victims low.
 constexpr double LeastLossSeconds = 0.2;
 
@@ -260,6 +268,8 @@
     const bool urgent = unit.queue->priority == 0;
     if (urgent && useClaim(unit))
         return;
+    if (!urgent && !leavesHeadroom(unit))
+        return;
     if (wantsRack) {
         const std::vector<std::size_t> near = fitNear(unit, freeRoom);
         if (!near.empty()) {
@@ -300,6 +310,37 @@
         * static_cast<double>(run.members.size());
 }
 
+void plan_maker::measureHeadroom()
+{
+    std::int64_t demand = 0;
+    std::int64_t count = 0;
+    for (const auto &[id, job] : input.state->jobs()) {
+        const queue_policy *queue = input.config->findQueue(job.job.queue);
+        if (queue == nullptr || queue->priority != 0
+            || input.nowMs - job.job.submittedMs > HeadroomWindowMs)
+            continue;
+        ++count;
+        demand += job.job.steps.front().item.accelerators * job.job.steps.front().count;
+    }
+    std::int64_t capacity = 0;
+    for (const worker_room &room : rooms)
+        capacity += room.worker->capacity.accelerators;
+    if (count > 0)
+        headroom = std::min(static_cast<std::int64_t>(HeadroomJobs * static_cast<double>(demand)
+                                                      / static_cast<double>(count)),
+                            static_cast<std::int64_t>(HeadroomShare * static_cast<double>(capacity)));
+}
+
+bool plan_maker::leavesHeadroom(const waiting_unit &unit) const
+{
+    std::int64_t available = 0;
+    for (const worker_room &room : rooms) {
+        if (!room.worker->draining && !room.guarded && !input.silent.contains(room.agent))
+            available += std::max<std::int64_t>(0, room.free.accelerators);
+    }
+    return available - unit.step->item.accelerators * unit.members >= headroom;
+}
+
 std::int64_t plan_maker::urgentUse(const team_id &team) const
 {
     std::int64_t used = 0;
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -20,6 +20,8 @@
     /// Claims of the plans before; those that still hold are kept.
     std::map<unit_id, std::vector<process_id>> claims = {};
     std::map<unit_id, std::vector<process_id>> keptClaims = {};
+    /// Accelerators that stay free of other work, for the next urgent job.
+    std::int64_t headroom = 0;
 
     /// Collects the workers and what runs on them.
     void measureRooms(const batch_scheduler &scheduler);
@@ -28,6 +30,8 @@
     /// Gives up jobs with a unit that used all its attempts.
     void failHopeless();
     std::vector<waiting_unit> waitingUnits() const;
+    /// Sets `headroom` by the urgent jobs of the last seconds.
+    void measureHeadroom();
     /// Sets the room of claims aside, so that nothing else starts there.
     void reserveClaims(const std::vector<waiting_unit> &units);
     void place(const waiting_unit &unit);
@@ -49,6 +53,8 @@
     void order(const waiting_unit &unit, const std::vector<std::size_t> &chosen);
     void reserve(const waiting_unit &unit, const std::vector<std::size_t> &chosen);
     bool preempt(const waiting_unit &unit);
+    /// True if enough accelerators stay free when `unit` starts.
+    bool leavesHeadroom(const waiting_unit &unit) const;
     void claim(const waiting_unit &unit, const std::vector<std::size_t> &chosen);
     /// Starts the unit on its claimed workers or goes on waiting for them; false if that cannot be.
     bool useClaim(const waiting_unit &unit);
