--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -19,6 +19,7 @@
     incarnation_number incarnation = 0;
     std::string journalTopic = "keyed.journal";
     std::string beatTopic = "beats";
+    std::string wakeAddress; ///< HOST:PORT at which onWake is called; empty: none
     std::int64_t longestLeaseMs = 6'000; ///< of the worker
     absl::Duration gangTimeout = absl::Seconds(3); ///< a member waits so long for the others
 };
@@ -36,6 +37,9 @@
     /// The worker says that it ends.
     void onWorkerLeft(const std::string &worker);
 
+    /// The decider has recorded orders for this agent.
+    void onWake() { m_follower.wake(); }
+
     void tick();
     absl::Time nextDeadline() const;
 
--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -39,6 +39,9 @@
     /// Records were applied to the state.
     void onRecords() { m_planDue = true; }
 
+    /// Sends a wake-up message to HOST:PORT; best effort.
+    std::function<void(const std::string &address, const std::string &message)> sendWake;
+
     void tick();
     absl::Time nextDeadline() const;
     /// Gives the right to decide back before the process ends.
@@ -76,6 +79,10 @@
     plan_input planInput() const;
     void plan();
     void record(std::vector<batch_record> decisions);
+    /// Agents that have to act on `decision`.
+    void collectAddressees(const batch_record &decision, std::set<process_id> *agents) const;
+    void wakeProcess(const process_id &process) const;
+    void wakeEntries();
     void logDecision(const batch_record &decision) const;
 
     decider_options m_options;
@@ -100,6 +107,7 @@
     bool m_recording = false;
     std::uint64_t m_recordedTo = 0; ///< offset after the newest own record
     bool m_planDue = false;
+    std::uint64_t m_jobsOver = 0; ///< when the entries were woken last
     absl::Time m_planAt = absl::InfiniteFuture();
 
     bool m_readingBeats = false;
--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -13,6 +13,7 @@
 {
     process_id entry;
     incarnation_number incarnation = 0;
+    std::string wakeAddress; ///< HOST:PORT at which onWake is called; empty: none
     std::string journalTopic = "keyed.journal";
     std::string configTopic;
     absl::Duration keysValidFor = absl::Seconds(5); ///< without a proof that they are in force
@@ -75,6 +76,12 @@
     std::function<void(const char *decision, const std::string &item, const std::string &detail)>
         onDecision;
 
+    /// Sends a wake-up message to HOST:PORT; best effort.
+    std::function<void(const std::string &address, const std::string &message)> sendWake;
+
+    /// The decider has seen that a job is over.
+    void onWake() { m_journal.wake(); }
+
     void handle(job_call call, responder respond);
     /// New connections are welcome.
     bool isReady() const;
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -108,15 +108,17 @@
     }
 };
 
-/// An agent's process started. The record's offset is the base of its fencing tokens.
-struct agent_started
+/// A process of ours started. The offset of an agent's record is the base of its fencing tokens.
+struct process_started
 {
-    process_id agent;
+    process_id process;
     incarnation_number incarnation = 0;
+    bool isEntry = false;
+    std::string wakeAddress; ///< HOST:PORT for wake-up messages; empty if it takes none
     template<class archive>
     void serialize(archive &ar)
     {
-        ar(agent, incarnation);
+        ar(process, incarnation, isEntry, wakeAddress);
     }
 };
 
@@ -160,7 +162,7 @@
 
 using batch_record
     = std::variant<job_submitted, job_cancelled, job_failed, run_ordered, run_stopping, run_ended,
-                   agent_started, agent_announced, agent_evicted, decider_granted>;
+                   process_started, agent_announced, agent_evicted, decider_granted>;
 
 /// Key under which the store keeps `record`, at most 255 bytes.
 std::string keyOf(const batch_record &record);
@@ -182,6 +184,21 @@
     }
 };
 
+/// Says that the journal has records which the addressee waits for; it then reads at once.
+struct wake_message
+{
+    std::uint64_t end = 0; ///< offset after those records
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(end);
+    }
+};
+
+std::string encodeWake(const wake_message &message);
+/// Errors: those of unseal.
+result<wake_message> decodeWake(std::string_view bytes);
+
 std::string encodeBeat(const agent_beat &beat);
 /// Errors: those of unseal.
 result<agent_beat> decodeBeat(std::string_view bytes);
--- a/include/hyssoppond/batch/batch_state_base.h
+++ b/include/hyssoppond/batch/batch_state_base.h
@@ -92,6 +92,9 @@
     bool isEvicted(const process_id &agent) const { return m_evicted.contains(agent); }
     const std::set<process_id> &evicted() const { return m_evicted; }
     const decider_granted &grant() const { return m_grant; }
+    const std::map<process_id, process_started> &processes() const { return m_processes; }
+    /// Jobs that are completed, failed or cancelled so far; changes whenever one more is.
+    std::uint64_t jobsOver() const { return m_jobsOver; }
     /// Active runs with a member on `agent`.
     std::vector<unit_id> runsOn(const process_id &agent) const;
     const unit_state *findUnit(const unit_id &unit) const;
@@ -108,7 +111,7 @@
     void on(const run_ordered &r);
     void on(const run_stopping &r);
     void on(const run_ended &r);
-    static void on(const agent_started &) { }
+    void on(const process_started &r);
     void on(const agent_announced &r);
     void on(const agent_evicted &r);
     void on(const decider_granted &r);
@@ -123,6 +126,8 @@
     std::set<process_id> m_evicted;
     std::map<process_id, std::set<unit_id>> m_runsOn;
     decider_granted m_grant;
+    std::map<process_id, process_started> m_processes;
+    std::uint64_t m_jobsOver = 0;
 };
 
 /// Units of a step: its items, or one for a gang.
--- a/include/hyssoppond/batch/log_follower_base.h
+++ b/include/hyssoppond/batch/log_follower_base.h
@@ -27,6 +27,13 @@
     /// The store stopped or resumed answering this follower.
     std::function<void(bool reachable)> onReachable;
 
+    /// After a read that returned records, the next one begins no sooner than this after it, so
+    /// that one call returns what several processes append in that time.
+    void setLeastInterval(absl::Duration interval) { m_leastInterval = interval; }
+
+    /// Reads as soon as the call in flight, if any, is answered.
+    void wake();
+
     /// Does what is due.
     void tick();
     absl::Time nextDeadline() const;
@@ -56,6 +63,7 @@
     follower_options m_options;
     store_port *m_store;
     loop_hooks m_hooks;
+    absl::Duration m_leastInterval = absl::ZeroDuration();
     bool m_loaded = false;
     bool m_busy = false;
     bool m_reachable = true;
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -20,6 +20,13 @@
 /// read and its way.
 constexpr absl::Duration LongestOrderGap = absl::Milliseconds(1700);
 
+/// Between two reads of orders without wake-up messages; short beside the time that an urgent job
+/// may wait, about 1 s.
+constexpr absl::Duration OrderInterval = absl::Milliseconds(50);
+
+/// And with wake-up messages, which may be lost.
+constexpr absl::Duration QuietInterval = absl::Milliseconds(500);
+
 /// A leaving time is announced again when it changes by more than this.
 constexpr unix_ms LeavingToleranceMs = 1'000;
 
@@ -47,6 +54,7 @@
                 absl::StrCat(m_options.agent.str(), "/", m_options.incarnation)},
                store, m_hooks)
 {
+    m_follower.setLeastInterval(m_options.wakeAddress.empty() ? OrderInterval : QuietInterval);
     m_follower.onLoaded = [this](const auto &records) { onLoaded(records); };
     m_follower.onRecords = [this](const auto &records) { onRecords(records); };
     m_follower.onReachable = [this](bool reachable) {
@@ -64,7 +72,8 @@
 
 void batch_agent::recordSession()
 {
-    const batch_record record = agent_started {m_options.agent, m_options.incarnation};
+    const batch_record record = process_started {m_options.agent, m_options.incarnation, false,
+                                                 m_options.wakeAddress};
     m_writer.write({{keyOf(record), encodeRecord(record), 0}}, absl::InfiniteFuture(),
                    [this](write_result what, std::uint64_t offset) {
                        if (what == write_result::Written)
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -90,6 +90,8 @@
         startDeciding();
     if (m_phase != phase::Deciding)
         return;
+    if (m_state->jobsOver() != m_jobsOver)
+        wakeEntries();
     if (!m_readingBeats && now >= m_beatsAt)
         readBeats();
     if (!m_recording && m_journal->position() >= m_recordedTo && (m_planDue || now >= m_planAt))
@@ -305,15 +307,18 @@
 void batch_decider::record(std::vector<batch_record> decisions)
 {
     std::vector<stored_record> records;
+    std::set<process_id> addressees;
     for (const batch_record &decision : decisions) {
         logDecision(decision);
+        collectAddressees(decision, &addressees);
         records.push_back({keyOf(decision), encodeRecord(decision), 0});
     }
     m_recording = true;
     const std::size_t count = records.size();
     // Sent until it is settled: what may still be appended must not be decided anew.
     m_writer->write(std::move(records), absl::InfiniteFuture(),
-                    [this, count, epoch = m_epoch](write_result what, std::uint64_t offset) {
+                    [this, count, addressees, epoch = m_epoch](write_result what,
+                                                               std::uint64_t offset) {
                         if (epoch != m_epoch || m_phase != phase::Deciding)
                             return;
                         m_recording = false;
@@ -323,9 +328,39 @@
                         }
                         m_recordedTo = offset + count;
                         m_planDue = true;
+                        for (const process_id &agent : addressees)
+                            wakeProcess(agent);
                     });
 }
 
+void batch_decider::collectAddressees(const batch_record &decision,
+                                      std::set<process_id> *agents) const
+{
+    if (const auto *ordered = std::get_if<run_ordered>(&decision)) {
+        for (const run_member &member : ordered->members)
+            agents->insert(member.agent);
+    } else if (const auto *stopping = std::get_if<run_stopping>(&decision)) {
+        for (const member_state &member : m_state->findUnit(stopping->unit)->active->members)
+            agents->insert(member.member.agent);
+    }
+}
+
+void batch_decider::wakeProcess(const process_id &process) const
+{
+    const auto found = m_state->processes().find(process);
+    if (sendWake && found != m_state->processes().end() && !found->second.wakeAddress.empty())
+        sendWake(found->second.wakeAddress, encodeWake({m_recordedTo}));
+}
+
+void batch_decider::wakeEntries()
+{
+    m_jobsOver = m_state->jobsOver();
+    for (const auto &[name, process] : m_state->processes()) {
+        if (process.isEntry && name != m_options.entry)
+            wakeProcess(name);
+    }
+}
+
 void batch_decider::logDecision(const batch_record &decision) const
 {
     if (const auto *ordered = std::get_if<run_ordered>(&decision)) {
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -30,6 +30,12 @@
 constexpr absl::Duration ShortestRetryAfter = absl::Seconds(1);
 constexpr absl::Duration LongestRetryAfter = absl::Seconds(3);
 
+/// Between two reads of the journal: by the decider, by other entries without wake-up messages, and
+/// by others with them. What entries show of a job may be 3 s old.
+constexpr absl::Duration DecidingInterval = absl::Milliseconds(15);
+constexpr absl::Duration StandbyInterval = absl::Milliseconds(50);
+constexpr absl::Duration QuietInterval = absl::Milliseconds(500);
+
 /// Digits of a job id.
 constexpr std::size_t JobIdDigits = 16;
 
@@ -100,6 +106,14 @@
         decided(reachable ? "store regained" : "store lost", "", "");
     };
     m_state.onMemberEnded = [this](const ended_member &ended) { m_decider.onMemberEnded(ended); };
+    m_decider.sendWake = [this](const std::string &address, const std::string &message) {
+        if (sendWake)
+            sendWake(address, message);
+    };
+    const batch_record started
+        = process_started {m_options.entry, m_options.incarnation, true, m_options.wakeAddress};
+    m_writer.write({{keyOf(started), encodeRecord(started), 0}}, absl::InfiniteFuture(),
+                   [](write_result, std::uint64_t) { /* the writer repeats it until it is kept */ });
     m_decider.onDecision = [this](const char *decision, const std::string &item,
                                   const std::string &detail) { decided(decision, item, detail); };
 }
@@ -147,6 +161,9 @@
     m_journal.tick();
     m_writer.tick();
     m_decider.tick();
+    const absl::Duration standby
+        = m_options.wakeAddress.empty() ? StandbyInterval : QuietInterval;
+    m_journal.setLeastInterval(m_decider.isDeciding() ? DecidingInterval : standby);
 }
 
 absl::Time batch_entry::nextDeadline() const
--- a/src/batch/batch_record.cpp
+++ b/src/batch/batch_record.cpp
@@ -34,7 +34,7 @@
         // Two writers have two keys, so that the first record of the two stays visible.
         return absl::StrCat(r.byDecider ? "l:" : "e:", toString(r.unit), ":", r.run, ":", r.member);
     }
-    std::string operator()(const agent_started &r) const { return "a:" + r.agent.str(); }
+    std::string operator()(const process_started &r) const { return "a:" + r.process.str(); }
     std::string operator()(const agent_announced &r) const { return "n:" + r.agent.str(); }
     std::string operator()(const agent_evicted &r) const { return "v:" + r.agent.str(); }
     std::string operator()(const decider_granted & /*r*/) const { return "decider"; }
@@ -76,6 +76,16 @@
     return unseal<batch_record>(BatchRecordVersion, bytes, MaxRecordBytes);
 }
 
+std::string encodeWake(const wake_message &message)
+{
+    return seal(BatchRecordVersion, message);
+}
+
+result<wake_message> decodeWake(std::string_view bytes)
+{
+    return unseal<wake_message>(BatchRecordVersion, bytes, MaxRecordBytes);
+}
+
 std::string encodeBeat(const agent_beat &beat)
 {
     return seal(BatchRecordVersion, beat);
--- a/src/batch/batch_state.cpp
+++ b/src/batch/batch_state.cpp
@@ -28,6 +28,7 @@
     m_evicted.clear();
     m_runsOn.clear();
     m_grant = {};
+    m_processes.clear();
 }
 
 void batch_state::apply(const batch_record &record, std::uint64_t /*offset*/)
@@ -101,15 +102,19 @@
 void batch_state::on(const job_cancelled &r)
 {
     const auto found = m_jobs.find(r.job);
-    if (found != m_jobs.end() && !found->second.isOver())
-        found->second.cancelled = true;
+    if (found == m_jobs.end() || found->second.isOver())
+        return;
+    found->second.cancelled = true;
+    ++m_jobsOver;
 }
 
 void batch_state::on(const job_failed &r)
 {
     const auto found = m_jobs.find(r.job);
-    if (found != m_jobs.end() && !found->second.isOver())
-        found->second.failed = true;
+    if (found == m_jobs.end() || found->second.isOver())
+        return;
+    found->second.failed = true;
+    ++m_jobsOver;
 }
 
 void batch_state::on(const run_ordered &r)
@@ -167,6 +172,11 @@
     }
 }
 
+void batch_state::on(const process_started &r)
+{
+    m_processes[r.process] = r;
+}
+
 void batch_state::on(const agent_announced &r)
 {
     m_agents[r.agent] = r;
@@ -229,8 +239,8 @@
     if (ended(run_end::Done) && !step.longRunning) {
         state->done = true;
         occurrence_state &occurrence = job.occurrences[unit.occurrence];
-        if (--occurrence.steps[unit.step].left == 0 && --occurrence.left == 0)
-            --job.left;
+        if (--occurrence.steps[unit.step].left == 0 && --occurrence.left == 0 && --job.left == 0)
+            ++m_jobsOver;
     } else if (ended(run_end::Failed)) {
         ++state->failures;
     }
--- a/src/batch/log_follower.cpp
+++ b/src/batch/log_follower.cpp
@@ -37,6 +37,15 @@
         load();
 }
 
+void log_follower::wake()
+{
+    // A failing store is not asked more often because of this.
+    if (m_failures == 0 && m_loaded)
+        m_retryAt = absl::InfinitePast();
+    if (!m_busy)
+        tick();
+}
+
 void log_follower::load()
 {
     m_busy = true;
@@ -133,6 +142,8 @@
     // The store does not wait in a topic that nobody has written to.
     if (nothing && !waited)
         m_retryAt = m_hooks.now() + EmptyTopicPause;
+    else if (!nothing)
+        m_retryAt = m_hooks.now() + m_leastInterval;
     handOver(answer.records, answer.end);
     if (!m_busy && m_loaded && m_hooks.now() >= m_retryAt)
         follow();
--- /dev/null
+++ b/src/loop/datagram_socket.cpp
@@ -0,0 +1,74 @@
+/// @file Implementation of the datagram socket.
+#include "hyssoppond/loop/datagram_socket_base.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <optional>
+#include <stdexcept>
+
+namespace hyssoppond {
+
+namespace {
+
+/// Larger datagrams are cut; ours have some tens of bytes.
+constexpr std::size_t MaxDatagramBytes = 1'400;
+
+std::optional<sockaddr_in> socketAddress(const std::string &host, std::uint16_t port)
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    if (inet_pton(AF_INET, host.c_str(), &address.sin_addr) != 1)
+        return std::nullopt;
+    return address;
+}
+
+} // namespace
+
+datagram_socket::datagram_socket(event_loop *loop, const std::string &host, std::uint16_t port,
+                                 std::function<void(const std::string &)> received)
+    : m_loop(loop)
+    , m_socket(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
+    , m_received(std::move(received))
+{
+    const auto address = socketAddress(host, port);
+    if (m_socket < 0 || !address
+        || bind(m_socket, reinterpret_cast<const sockaddr *>(&*address), sizeof *address) != 0) {
+        if (m_socket >= 0)
+            close(m_socket);
+        throw std::runtime_error("cannot bind UDP " + host + ":" + std::to_string(port)
+                                 + "; choose a free address");
+    }
+    loop->watch(m_socket, EPOLLIN, [this](std::uint32_t) { receive(); });
+}
+
+datagram_socket::~datagram_socket()
+{
+    m_loop->unwatch(m_socket);
+    close(m_socket);
+}
+
+bool datagram_socket::send(const std::string &host, std::uint16_t port,
+                           const std::string &content) const
+{
+    const auto address = socketAddress(host, port);
+    return address
+        && sendto(m_socket, content.data(), content.size(), MSG_NOSIGNAL,
+                  reinterpret_cast<const sockaddr *>(&*address), sizeof *address)
+        == static_cast<ssize_t>(content.size());
+}
+
+void datagram_socket::receive()
+{
+    std::array<char, MaxDatagramBytes> buffer {};
+    ssize_t size = 0;
+    while ((size = recv(m_socket, buffer.data(), buffer.size(), 0)) > 0)
+        m_received(std::string(buffer.data(), static_cast<std::size_t>(size)));
+}
+
+} // namespace hyssoppond
