--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -329,16 +329,20 @@
     job.queue = target.queue->name;
     job.team = target.team;
     job.submittedMs = absl::ToUnixMillis(m_hooks.dayTime());
+    const batch_step &first = job.steps.front();
+    std::string shape = absl::StrCat("queue ", job.queue, ", ", first.count, " items of ",
+                                     first.item.accelerators, " accelerators, ", first.estimateMs,
+                                     " ms, ", job.steps.size(), " steps");
     const batch_record record = job_submitted {std::move(job)};
     const absl::Time deadline
         = std::min(call.deadline - AnswerMargin, m_hooks.now() + RecordWithin);
     m_writer.write(
         {{keyOf(record), encodeRecord(record), 0}}, deadline,
-        [this, id, respond](write_result what, std::uint64_t offset) {
+        [this, id, respond, shape = std::move(shape)](write_result what, std::uint64_t offset) {
             job_reply reply;
             if (what == write_result::Written) {
                 reply.kind = reply_kind::Accepted;
-                decided("job accepted", id.str(), absl::StrCat("offset ", offset));
+                decided("job accepted", id.str(), absl::StrCat(shape, ", offset ", offset));
             } else if (what == write_result::NotWritten) {
                 reply = refusal(reason::LogUnavailable, "the job was not recorded; retry");
             } else {
