Gather room for the gangs that wait longest

Change: for the two first waiting gangs in time, the room of the rack with most free accelerators is set aside.

--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -24,6 +24,9 @@
 constexpr double HeadroomJobs = 1.6;
 constexpr double HeadroomShare = 0.25;
 
+/// Gangs for which room is gathered at once; more would leave too much idle.
+constexpr std::uint32_t MostReservations = 2;
+
 /// Smallest loss of a run that is stopped, in seconds; keeps the number of victims low.
 constexpr double LeastLossSeconds = 0.2;
 
@@ -268,8 +271,10 @@
     const bool urgent = unit.queue->priority == 0;
     if (urgent && useClaim(unit))
         return;
-    if (!urgent && !leavesHeadroom(unit))
+    if (!urgent && !leavesHeadroom(unit)) {
+        gatherRoom(unit);
         return;
+    }
     if (wantsRack) {
         const std::vector<std::size_t> near = fitNear(unit, freeRoom);
         if (!near.empty()) {
@@ -282,16 +287,20 @@
                           [&](const std::string &rack) { return rackCouldHold(unit, rack); });
         if (possible && urgent && preempt(unit))
             return;
-        if (possible && !urgent && unit.lateness == 0)
-            return; // the wait for a rack is shorter than the slowdown elsewhere
+        if (possible && !urgent && unit.lateness == 0) {
+            gatherRoom(unit); // the wait for a rack is shorter than the slowdown elsewhere
+            return;
+        }
     }
     const std::vector<std::size_t> chosen = fit(unit, anywhere, freeRoom);
     if (!chosen.empty()) {
         order(unit, chosen);
         return;
     }
-    if (!urgent)
+    if (!urgent) {
+        gatherRoom(unit);
         return;
+    }
     const std::vector<std::size_t> soon = fit(unit, anywhere, soonFree);
     if (!soon.empty())
         claim(unit, soon);
@@ -299,6 +308,32 @@
         preempt(unit);
 }
 
+void plan_maker::gatherRoom(const waiting_unit &unit)
+{
+    if (reservations >= MostReservations || unit.lateness > 0 || unit.members < 2)
+        return;
+    const auto whole = [](const worker_room &room) { return room.worker->capacity; };
+    std::vector<std::size_t> best;
+    std::int64_t mostFree = std::numeric_limits<std::int64_t>::min();
+    for (const std::string &rack : racksOf(unit)) {
+        std::int64_t rackFree = 0;
+        for (const worker_room &room : rooms)
+            rackFree += room.worker->rack == rack ? room.free.accelerators : 0;
+        if (rackFree <= mostFree)
+            continue;
+        std::vector<std::size_t> chosen = fit(
+            unit, [&rack](const worker_room &room) { return room.worker->rack == rack; }, whole);
+        if (chosen.empty())
+            continue;
+        mostFree = rackFree;
+        best = std::move(chosen);
+    }
+    if (best.empty())
+        return;
+    ++reservations;
+    reserve(unit, best);
+}
+
 double plan_maker::lossOf(const unit_id &unit) const
 {
     const job_state &job = *input.state->find(unit.job);
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -22,6 +22,7 @@
     std::map<unit_id, std::vector<process_id>> keptClaims = {};
     /// Accelerators that stay free of other work, for the next urgent job.
     std::int64_t headroom = 0;
+    std::uint32_t reservations = 0; ///< gangs for which room is being gathered
 
     /// Collects the workers and what runs on them.
     void measureRooms(const batch_scheduler &scheduler);
@@ -55,6 +56,8 @@
     bool preempt(const waiting_unit &unit);
     /// True if enough accelerators stay free when `unit` starts.
     bool leavesHeadroom(const waiting_unit &unit) const;
+    /// Keeps other work off the workers where a waiting gang will fit soonest.
+    void gatherRoom(const waiting_unit &unit);
     void claim(const waiting_unit &unit, const std::vector<std::size_t> &chosen);
     /// Starts the unit on its claimed workers or goes on waiting for them; false if that cannot be.
     bool useClaim(const waiting_unit &unit);
