Let the headroom grow with the rate of urgent jobs

Ruled out: the decider's own time (orders follow acceptance within 20 ms where room is free). Change: headroom for 1.2 jobs and those of 1.2 s of the mean size, at most a quarter of all accelerators.

--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -19,9 +19,11 @@
 /// Urgent jobs of this time set the headroom, in ms.
 constexpr unix_ms HeadroomWindowMs = 10'000;
 
-/// Urgent jobs of mean size that find room without a stop, and the largest share of all
-/// accelerators that is left free for them.
-constexpr double HeadroomJobs = 1.6;
+/// Urgent jobs of mean size that find room without a stop: a number, and those of some seconds,
+/// about the time in which a stop makes room for more. And the largest share of all accelerators
+/// that is left free for them.
+constexpr double HeadroomJobs = 1.2;
+constexpr double HeadroomSeconds = 1.2;
 constexpr double HeadroomShare = 0.25;
 
 /// Gangs for which room is gathered at once; more would leave too much idle.
@@ -360,10 +362,14 @@
     std::int64_t capacity = 0;
     for (const worker_room &room : rooms)
         capacity += room.worker->capacity.accelerators;
-    if (count > 0)
-        headroom = std::min(static_cast<std::int64_t>(HeadroomJobs * static_cast<double>(demand)
-                                                      / static_cast<double>(count)),
-                            static_cast<std::int64_t>(HeadroomShare * static_cast<double>(capacity)));
+    if (count == 0)
+        return;
+    const double jobs = HeadroomJobs
+        + HeadroomSeconds * 1000.0 * static_cast<double>(count)
+            / static_cast<double>(HeadroomWindowMs);
+    const double wanted = jobs * static_cast<double>(demand) / static_cast<double>(count);
+    headroom = static_cast<std::int64_t>(
+        std::min(wanted, HeadroomShare * static_cast<double>(capacity)));
 }
 
 bool plan_maker::leavesHeadroom(const waiting_unit &unit) const
