--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -23,8 +23,8 @@
 /// about the time in which a stop makes room for more. And the largest share of all accelerators
 /// that is left free for them.
 constexpr double HeadroomJobs = 1.2;
-constexpr double HeadroomSeconds = 1.2;
-constexpr double HeadroomShare = 0.25;
+constexpr double HeadroomSeconds = 2.2;
+constexpr double HeadroomShare = 0.35;
 
 /// Gangs for which room is gathered at once; more would leave too much idle.
 constexpr std::uint32_t MostReservations = 2;
