--- a/include/hyssoppond/base/log_func.h
+++ b/include/hyssoppond/base/log_func.h
@@ -1,4 +1,5 @@
-/// @file Structured logs: one JSON object per line on standard error, through log4cplus.
+/// @file Structured logs: one JSON object per line on standard output, through log4cplus. A line is
+/// dropped and counted when the reader of the output does not keep up.
 #pragma once
 
 #include "hyssoppond/base/name_table_type.h"
--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -19,7 +19,7 @@
     incarnation_number incarnation = 0;
     std::string journalTopic = "keyed.journal";
     std::string beatTopic = "beats";
-    std::string wakeAddress; ///< HOST:PORT at which onWake is called; empty: none
+    std::string wakeAddress;             ///< HOST:PORT at which onWake is called; empty: none
     std::int64_t longestLeaseMs = 6'000; ///< of the worker
     absl::Duration gangTimeout = absl::Seconds(3); ///< a member waits so long for the others
 };
@@ -66,7 +66,7 @@
         std::string checkpoint;
         absl::Time receivedAt; ///< when the order was read
         bool stale = false;    ///< the order may be much older than `receivedAt`
-        unix_ms bornMs = 0; ///< life of the worker that the order is for
+        unix_ms bornMs = 0;    ///< life of the worker that the order is for
         bool gang = false;
         bool unwanted = false; ///< to be stopped
         bool stopSent = false;
@@ -133,8 +133,8 @@
     absl::Time m_beatAt = absl::InfinitePast();
 
     std::map<item_run, local_run> m_runs;
-    std::set<item_run> m_ended;   ///< with a record in the journal
-    std::set<item_run> m_voided;  ///< ordered for an earlier life of the worker
+    std::set<item_run> m_ended;  ///< with a record in the journal
+    std::set<item_run> m_voided; ///< ordered for an earlier life of the worker
     std::set<job_id> m_overJobs;
     std::set<std::pair<unit_id, std::uint32_t>> m_stoppingRuns;
 
@@ -143,8 +143,8 @@
     bool m_lookFresh = false;
     absl::Time m_lookAt = absl::InfinitePast();
     absl::Time m_lastLookAt = absl::InfinitePast();
-    std::uint64_t m_acknowledged = 0;     ///< ends up to this number are in the journal
-    std::uint64_t m_acknowledgedSent = 0; ///< and the worker was told so
+    std::uint64_t m_acknowledged = 0;               ///< ends up to this number are in the journal
+    std::uint64_t m_acknowledgedSent = 0;           ///< and the worker was told so
     absl::Time m_lifeSeenAt = absl::InfinitePast(); ///< last answer that named the life
     std::uint64_t m_life = 0; ///< counts the lives of the worker that were seen
     std::uint32_t m_reporting = 0;
--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -54,7 +54,7 @@
 private:
     enum class phase : std::uint8_t {
         Standby,
-        Granting, ///< the grant is on its way to the journal
+        Granting,   ///< the grant is on its way to the journal
         CatchingUp, ///< records before the grant are still to be read
         Deciding,
     };
--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -28,10 +28,10 @@
     call_kind kind = call_kind::Status;
     std::string host;
     std::string path;
-    std::string key;                ///< empty: none was sent
-    std::optional<batch_job> job;   ///< of a submission; id, queue and team are set here
-    std::string problem;            ///< why `job` could not be read
-    absl::Time deadline;            ///< until which the caller waits, on the steady clock
+    std::string key;              ///< empty: none was sent
+    std::optional<batch_job> job; ///< of a submission; id, queue and team are set here
+    std::string problem;          ///< why `job` could not be read
+    absl::Time deadline;          ///< until which the caller waits, on the steady clock
 };
 
 /// What the caller is told.
@@ -40,12 +40,12 @@
     Status,
     Pending,
     Cancelled,
-    Malformed,   ///< the call can never succeed
+    Malformed, ///< the call can never succeed
     Unauthorized,
     NoQueue,
     NoJob,
-    Refused,     ///< nothing was done; `retryAfter` says when to come back
-    Unknown,     ///< it may have been done; the same call may be repeated
+    Refused, ///< nothing was done; `retryAfter` says when to come back
+    Unknown, ///< it may have been done; the same call may be repeated
 };
 
 inline constexpr name_table<reply_kind, 10> ReplyKindNames {
@@ -58,7 +58,7 @@
     job_status status = job_status::Queued; ///< for Status
     std::size_t pending = 0;                ///< for Pending
     reason why = reason::None;
-    std::string message;                                    ///< for the other kinds
+    std::string message;                              ///< for the other kinds
     absl::Duration retryAfter = absl::ZeroDuration(); ///< for Refused
 };
 
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -127,7 +127,7 @@
 struct agent_announced
 {
     process_id agent;
-    bool hasWorker = false;             ///< false: the worker has left or is not known yet
+    bool hasWorker = false; ///< false: the worker has left or is not known yet
     worker_description worker;
     template<class archive>
     void serialize(archive &ar)
@@ -175,7 +175,7 @@
 struct agent_beat
 {
     process_id agent;
-    unix_ms bornMs = 0; ///< life of its worker
+    unix_ms bornMs = 0;                                         ///< life of its worker
     std::vector<std::pair<std::string, std::uint32_t>> stalled; ///< runs without progress, in ms
     template<class archive>
     void serialize(archive &ar)
--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -46,7 +46,7 @@
     const batch_step *step = nullptr;
     const unit_state *state = nullptr;
     const queue_policy *queue = nullptr;
-    double lateness = 0;     ///< 0 in time, 1 late, 2 past any use
+    double lateness = 0;       ///< 0 in time, 1 late, 2 past any use
     unix_ms latestStartMs = 0; ///< to end within the objective
     std::uint32_t members = 1;
 };
--- a/include/hyssoppond/batch/batch_state_base.h
+++ b/include/hyssoppond/batch/batch_state_base.h
@@ -33,10 +33,10 @@
 {
     bool done = false;
     std::uint32_t lastRun = 0;
-    std::uint32_t failures = 0;       ///< runs that ended as Failed
+    std::uint32_t failures = 0; ///< runs that ended as Failed
     std::optional<run_state> active;
-    std::string checkpoint;           ///< newest that a run left behind
-    std::set<process_id> failedOn;    ///< agents on which a run failed
+    std::string checkpoint;        ///< newest that a run left behind
+    std::set<process_id> failedOn; ///< agents on which a run failed
     unix_ms lastOrderedMs = 0;
 };
 
@@ -58,7 +58,7 @@
     batch_job job;
     bool cancelled = false;
     bool failed = false;
-    bool started = false; ///< some item was ordered to run
+    bool started = false;   ///< some item was ordered to run
     std::uint32_t left = 0; ///< occurrences that are not done
     std::vector<occurrence_state> occurrences;
     std::uint32_t activeRuns = 0;
--- a/include/hyssoppond/batch/batch_type.h
+++ b/include/hyssoppond/batch/batch_type.h
@@ -67,7 +67,7 @@
 {
     std::uint32_t count = 0;
     resources item;
-    std::uint32_t estimateMs = 0; ///< declared duration of one item; often far off
+    std::uint32_t estimateMs = 0;         ///< declared duration of one item; often far off
     std::vector<std::uint32_t> dependsOn; ///< steps that must be done first
     bool gang = false;                    ///< all items run together or none does
     bool sameRack = false;                ///< slower by the remote factor across racks
@@ -161,7 +161,7 @@
     std::string service; ///< whose workers run its items
     int priority = 0;    ///< 0 comes first and may preempt others
     std::uint32_t maxAttempts = 1;
-    double stretch = 1.0;          ///< objective, as a multiple of the longest chain of work
+    double stretch = 1.0;           ///< objective, as a multiple of the longest chain of work
     std::int64_t latencyGoalMs = 0; ///< added to the objective
     bool isPublic = false;          ///< needs no key
     bool needsAdvice = false;       ///< starts need a ticket of the advice service
@@ -197,8 +197,8 @@
 /// What an agent says about the worker that it serves.
 struct worker_description
 {
-    std::string worker;     ///< identifies one life of the worker together with `bornMs`
-    unix_ms bornMs = 0;     ///< start of this life
+    std::string worker; ///< identifies one life of the worker together with `bornMs`
+    unix_ms bornMs = 0; ///< start of this life
     std::string service;
     std::string zone;
     std::string kind;
--- a/include/hyssoppond/batch/item_worker_port.h
+++ b/include/hyssoppond/batch/item_worker_port.h
@@ -25,14 +25,14 @@
 /// What is known after an order.
 enum class order_outcome : std::uint8_t {
     Done,
-    StaleToken,  ///< the worker has seen a higher fencing token
-    OldRun,      ///< a run that is not lower has ended or was stopped there
-    LeaseOver,   ///< the lease of the order has run out already
+    StaleToken, ///< the worker has seen a higher fencing token
+    OldRun,     ///< a run that is not lower has ended or was stopped there
+    LeaseOver,  ///< the lease of the order has run out already
     NoRoom,
-    Unhealthy,   ///< the worker did nothing
-    OtherLife,   ///< the worker has restarted; nothing was done
-    Rejected,    ///< the worker does not accept such an order
-    NoAnswer,    ///< it may have been carried out or may still be, seconds later
+    Unhealthy, ///< the worker did nothing
+    OtherLife, ///< the worker has restarted; nothing was done
+    Rejected,  ///< the worker does not accept such an order
+    NoAnswer,  ///< it may have been carried out or may still be, seconds later
 };
 
 struct start_order
--- a/include/hyssoppond/batch/log_follower_base.h
+++ b/include/hyssoppond/batch/log_follower_base.h
@@ -10,7 +10,7 @@
 struct follower_options
 {
     std::string topic;
-    absl::Duration wait = absl::Milliseconds(1500); ///< of one long read
+    absl::Duration wait = absl::Milliseconds(1500);         ///< of one long read
     absl::Duration answerWithin = absl::Milliseconds(1200); ///< besides the wait
 };
 
@@ -67,7 +67,7 @@
     bool m_loaded = false;
     bool m_busy = false;
     bool m_reachable = true;
-    bool m_fresh = false;       ///< use a new connection, as the last call got no answer
+    bool m_fresh = false; ///< use a new connection, as the last call got no answer
     std::uint32_t m_failures = 0;
     absl::Time m_retryAt = absl::InfinitePast();
     absl::Time m_provenAt = absl::InfinitePast();
--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -39,11 +39,11 @@
 /// Faults of the orders to one worker.
 struct worker_faults
 {
-    double loseAnswers = 0.0;   ///< share of orders carried out without an answer
-    double executeLate = 0.0;   ///< share of orders carried out 2 to 12 s later, unanswered
+    double loseAnswers = 0.0;       ///< share of orders carried out without an answer
+    double executeLate = 0.0;       ///< share of orders carried out 2 to 12 s later, unanswered
     bool grantsFromArrival = false; ///< a late order's lease counts from its arrival
     bool unreachable = false;
-    bool failAll = false;       ///< every item fails at once
+    bool failAll = false; ///< every item fails at once
 };
 
 class fake_item_worker
@@ -61,8 +61,8 @@
     void setDraining(batch::unix_ms leavesAtMs);
 
     worker_faults faults;
-    double clockRate = 1.0;                       ///< of its steady clock
-    absl::Duration itemTime = absl::Seconds(2);   ///< of each item
+    double clockRate = 1.0;                     ///< of its steady clock
+    absl::Duration itemTime = absl::Seconds(2); ///< of each item
     std::int64_t longestLeaseMs = 6'000;
     std::size_t running() const { return m_runs.size(); }
 
--- a/include/hyssoppond/fakes/fake_store_base.h
+++ b/include/hyssoppond/fakes/fake_store_base.h
@@ -16,10 +16,10 @@
 /// Faults that one client meets.
 struct store_faults
 {
-    bool refuse = false;       ///< answers that nothing was done
-    bool silent = false;       ///< neither acts nor answers
-    double loseAnswers = 0.0;  ///< share of appends that take effect without an answer
-    double executeLate = 0.0;  ///< share of appends that take effect 1 to 6 s later, unanswered
+    bool refuse = false;      ///< answers that nothing was done
+    bool silent = false;      ///< neither acts nor answers
+    double loseAnswers = 0.0; ///< share of appends that take effect without an answer
+    double executeLate = 0.0; ///< share of appends that take effect 1 to 6 s later, unanswered
     absl::Duration answerDelay = absl::Milliseconds(4);
 };
 
--- a/include/hyssoppond/loop/http_server_base.h
+++ b/include/hyssoppond/loop/http_server_base.h
@@ -4,6 +4,7 @@
 #include "hyssoppond/loop/event_loop_base.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -16,6 +17,7 @@
 {
     std::string method;
     std::string path;
+    std::map<std::string, std::string> query; ///< what follows the path
     std::string host;
     std::string authorization;
     std::string deadlineMs; ///< value of the header that the options name; empty if absent
--- a/include/hyssoppond/tool/tool_base.h
+++ b/include/hyssoppond/tool/tool_base.h
@@ -12,7 +12,7 @@
 
 namespace hyssoppond {
 
-/// Exit codes of hyssopctl; docs/operations.md lists them.
+/// Exit codes of hyssopctl; docs/OPERATIONS.md lists them.
 enum class exit_code : std::uint8_t {
     Ok = 0,
     JobNotCompleted = 1, ///< `wait` or a runbook: the job ended, but not as Completed
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -2,12 +2,14 @@
 #include "hyssoppond/base/log_func.h"
 
 #include <absl/time/time.h>
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <memory>
@@ -29,6 +31,43 @@
     return fields;
 }
 
+/// Longest line in bytes. A pipe that is ready takes this much without blocking.
+constexpr std::size_t MaxLineBytes = 4'096;
+
+/// Writes lines to standard output and drops those for which a slow reader has left no room, so
+/// that logging never blocks the process.
+class unblocking_appender : public log4cplus::Appender
+{
+public:
+    ~unblocking_appender() override { destructorImpl(); }
+    void close() override { closed = true; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        pollfd output {STDOUT_FILENO, POLLOUT, 0};
+        if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+            ++m_dropped;
+            return;
+        }
+        std::string line = event.getMessage();
+        if (m_dropped != 0 && !line.empty() && line.back() == '}') {
+            line.pop_back();
+            line += ",\"dropped_lines\":" + std::to_string(m_dropped) + "}";
+        }
+        if (line.size() + 1 > MaxLineBytes)
+            line = R"({"level":"warn","message":"log line dropped: longer than 4096 bytes"})";
+        line += '\n';
+        if (write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size()))
+            m_dropped = 0;
+        else
+            ++m_dropped;
+    }
+
+private:
+    std::uint64_t m_dropped = 0; ///< since the last line that was written
+};
+
 log4cplus::LogLevel levelOf(log_level level)
 {
     switch (level) {
@@ -50,9 +89,7 @@
 {
     static const log4cplus::Initializer initializer;
     processFields() = {process, zone};
-    const log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(/*logToStdErr=*/true, /*immediateFlush=*/true));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    const log4cplus::SharedAppenderPtr appender(new unblocking_appender);
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
     root.addAppender(appender);
@@ -65,7 +102,9 @@
     if (!root.isEnabledFor(levelOf(level)))
         return;
     nlohmann::ordered_json line;
-    line["time"] = absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::FromChrono(std::chrono::system_clock::now()), absl::UTCTimeZone());
+    line["time"]
+        = absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ",
+                           absl::FromChrono(std::chrono::system_clock::now()), absl::UTCTimeZone());
     line["level"] = std::string(LogLevelNames.name(level));
     line["process"] = processFields().process;
     line["zone"] = processFields().zone;
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -36,9 +36,8 @@
 bool sameAnnouncement(const worker_description &a, const worker_description &b)
 {
     return a.worker == b.worker && a.bornMs == b.bornMs && a.service == b.service
-        && a.rack == b.rack && a.kind == b.kind && a.labels == b.labels
-        && a.capacity == b.capacity && a.draining == b.draining
-        && std::abs(a.leavesAtMs - b.leavesAtMs) <= LeavingToleranceMs;
+        && a.rack == b.rack && a.kind == b.kind && a.labels == b.labels && a.capacity == b.capacity
+        && a.draining == b.draining && std::abs(a.leavesAtMs - b.leavesAtMs) <= LeavingToleranceMs;
 }
 
 } // namespace
@@ -50,16 +49,15 @@
     , m_worker(worker)
     , m_hooks(std::move(hooks))
     , m_follower({m_options.journalTopic, JournalWait}, store, m_hooks)
-    , m_writer({m_options.journalTopic,
-                absl::StrCat(m_options.agent.str(), "/", m_options.incarnation)},
-               store, m_hooks)
+    , m_writer(
+          {m_options.journalTopic, absl::StrCat(m_options.agent.str(), "/", m_options.incarnation)},
+          store, m_hooks)
 {
     m_follower.setLeastInterval(m_options.wakeAddress.empty() ? OrderInterval : QuietInterval);
     m_follower.onLoaded = [this](const auto &records) { onLoaded(records); };
     m_follower.onRecords = [this](const auto &records) { onRecords(records); };
-    m_follower.onReachable = [this](bool reachable) {
-        decided(reachable ? "store regained" : "store lost", "", "");
-    };
+    m_follower.onReachable
+        = [this](bool reachable) { decided(reachable ? "store regained" : "store lost", "", ""); };
     recordSession();
 }
 
@@ -72,8 +70,8 @@
 
 void batch_agent::recordSession()
 {
-    const batch_record record = process_started {m_options.agent, m_options.incarnation, false,
-                                                 m_options.wakeAddress};
+    const batch_record record
+        = process_started {m_options.agent, m_options.incarnation, false, m_options.wakeAddress};
     m_writer.write({{keyOf(record), encodeRecord(record), 0}}, absl::InfiniteFuture(),
                    [this](write_result what, std::uint64_t offset) {
                        if (what == write_result::Written)
@@ -225,7 +223,8 @@
         run = known->second;
         run.unwanted = run.unwanted || unwanted;
     }
-    decided("journal loaded", "", absl::StrCat(records.size(), " records, ", m_runs.size(), " runs"));
+    decided("journal loaded", "",
+            absl::StrCat(records.size(), " records, ", m_runs.size(), " runs"));
     tick();
 }
 
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -72,7 +72,8 @@
         = justifiedLeaseMs(m_follower.provenAt(), now, m_options.longestLeaseMs);
     if (lease <= 0)
         return std::nullopt;
-    const double passed = absl::ToDoubleMilliseconds(now - m_clockReadAt) * (1.0 - WorkerClockError);
+    const double passed
+        = absl::ToDoubleMilliseconds(now - m_clockReadAt) * (1.0 - WorkerClockError);
     return *m_clockMs + static_cast<std::int64_t>(passed) + lease;
 }
 
@@ -95,8 +96,8 @@
     }
     ++m_reporting;
     m_writer.write(std::move(records), absl::InfiniteFuture(),
-                   [this, ends = std::move(ends), acknowledge, life = m_life](write_result what,
-                                                                     std::uint64_t /*offset*/) {
+                   [this, ends = std::move(ends), acknowledge,
+                    life = m_life](write_result what, std::uint64_t /*offset*/) {
                        --m_reporting;
                        if (what != write_result::Written)
                            return; // only another process with this name could fence us
@@ -125,8 +126,8 @@
     }
     for (const item_run &id : due) {
         const local_run &run = m_runs.at(id);
-        const bool late = run.stale
-            || m_hooks.now() - run.receivedAt > m_options.gangTimeout * GangStartShare;
+        const bool late
+            = run.stale || m_hooks.now() - run.receivedAt > m_options.gangTimeout * GangStartShare;
         if (run.unwanted)
             reportNotStarted(id, "no longer wanted");
         else if (m_description->draining)
@@ -143,8 +144,8 @@
 void batch_agent::start(const item_run &id)
 {
     const std::optional<std::int64_t> until = leaseUntilMs();
-    const std::int64_t lease = justifiedLeaseMs(m_follower.provenAt(), m_hooks.now(),
-                                                m_options.longestLeaseMs);
+    const std::int64_t lease
+        = justifiedLeaseMs(m_follower.provenAt(), m_hooks.now(), m_options.longestLeaseMs);
     if (!until || lease < ShortestLeaseMs)
         return;
     local_run &run = m_runs.at(id);
@@ -247,8 +248,7 @@
     if (!m_sessionAt || !m_follower.isLoaded() || m_follower.position() <= *m_sessionAt
         || !m_description)
         return false;
-    return !m_synced || !m_runs.empty() || m_reporting != 0
-        || m_acknowledged > m_acknowledgedSent;
+    return !m_synced || !m_runs.empty() || m_reporting != 0 || m_acknowledged > m_acknowledgedSent;
 }
 
 void batch_agent::look()
@@ -277,14 +277,14 @@
     order.deadline = now + order.wait + OrderAnswer;
     order.freshConnection = m_lookFresh;
     const std::uint64_t lastSeen = order.lastSeenEnd;
-    m_worker->look(std::move(order), [this, sent = token(), life = m_life, now,
-                                       lastSeen](const look_answer &answer) {
-        m_looking = false;
-        if (answer.outcome == order_outcome::Done && life == m_life)
-            m_acknowledgedSent = std::max(m_acknowledgedSent, lastSeen);
-        onLook(answer, sent, life, now);
-        tick();
-    });
+    m_worker->look(std::move(order),
+                   [this, sent = token(), life = m_life, now, lastSeen](const look_answer &answer) {
+                       m_looking = false;
+                       if (answer.outcome == order_outcome::Done && life == m_life)
+                           m_acknowledgedSent = std::max(m_acknowledgedSent, lastSeen);
+                       onLook(answer, sent, life, now);
+                       tick();
+                   });
 }
 
 item_run batch_agent::ownRun(const item_run &listed) const
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -272,8 +272,8 @@
         const run_state &run = *m_state->findUnit(unit)->active;
         for (const member_state &member : run.members) {
             if (member.member.agent == agent && !member.end)
-                ends.emplace_back(run_ended {unit, run.run, member.member.index, agent,
-                                             run_end::Lost, "", true});
+                ends.emplace_back(
+                    run_ended {unit, run.run, member.member.index, agent, run_end::Lost, "", true});
         }
     }
     if (!m_recording && !ends.empty())
@@ -316,21 +316,21 @@
     m_recording = true;
     const std::size_t count = records.size();
     // Sent until it is settled: what may still be appended must not be decided anew.
-    m_writer->write(std::move(records), absl::InfiniteFuture(),
-                    [this, count, addressees, epoch = m_epoch](write_result what,
-                                                               std::uint64_t offset) {
-                        if (epoch != m_epoch || m_phase != phase::Deciding)
-                            return;
-                        m_recording = false;
-                        if (what != write_result::Written) {
-                            stepDown("a later decider took over");
-                            return;
-                        }
-                        m_recordedTo = offset + count;
-                        m_planDue = true;
-                        for (const process_id &agent : addressees)
-                            wakeProcess(agent);
-                    });
+    m_writer->write(
+        std::move(records), absl::InfiniteFuture(),
+        [this, count, addressees, epoch = m_epoch](write_result what, std::uint64_t offset) {
+            if (epoch != m_epoch || m_phase != phase::Deciding)
+                return;
+            m_recording = false;
+            if (what != write_result::Written) {
+                stepDown("a later decider took over");
+                return;
+            }
+            m_recordedTo = offset + count;
+            m_planDue = true;
+            for (const process_id &agent : addressees)
+                wakeProcess(agent);
+        });
 }
 
 void batch_decider::collectAddressees(const batch_record &decision,
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -49,9 +49,8 @@
 
 result<void> checkJob(const batch_job &job)
 {
-    const auto invalid = [](std::string message) {
-        return fail(reason::InvalidArgument, std::move(message));
-    };
+    const auto invalid
+        = [](std::string message) { return fail(reason::InvalidArgument, std::move(message)); };
     if (job.payload.size() > MaxPayloadBytes)
         return invalid("the job's text is longer than 4000 bytes; shorten it");
     if (job.steps.empty() || job.steps.size() > MaxSteps)
@@ -80,9 +79,9 @@
     , m_hooks(std::move(hooks))
     , m_configFollower({m_options.configTopic}, store, m_hooks)
     , m_journal({m_options.journalTopic}, store, m_hooks)
-    , m_writer({m_options.journalTopic,
-                absl::StrCat(m_options.entry.str(), "/", m_options.incarnation)},
-               store, m_hooks)
+    , m_writer(
+          {m_options.journalTopic, absl::StrCat(m_options.entry.str(), "/", m_options.incarnation)},
+          store, m_hooks)
     , m_decider({m_options.entry, m_options.journalTopic, "beats", "decider", "decider",
                  m_options.scheduler},
                 store, m_hooks, &m_state, &m_journal)
@@ -112,8 +111,9 @@
     };
     const batch_record started
         = process_started {m_options.entry, m_options.incarnation, true, m_options.wakeAddress};
-    m_writer.write({{keyOf(started), encodeRecord(started), 0}}, absl::InfiniteFuture(),
-                   [](write_result, std::uint64_t) { /* the writer repeats it until it is kept */ });
+    m_writer.write(
+        {{keyOf(started), encodeRecord(started), 0}}, absl::InfiniteFuture(),
+        [](write_result, std::uint64_t) { /* the writer repeats it until it is kept */ });
     m_decider.onDecision = [this](const char *decision, const std::string &item,
                                   const std::string &detail) { decided(decision, item, detail); };
 }
@@ -161,8 +161,7 @@
     m_journal.tick();
     m_writer.tick();
     m_decider.tick();
-    const absl::Duration standby
-        = m_options.wakeAddress.empty() ? StandbyInterval : QuietInterval;
+    const absl::Duration standby = m_options.wakeAddress.empty() ? StandbyInterval : QuietInterval;
     m_journal.setLeastInterval(m_decider.isDeciding() ? DecidingInterval : standby);
 }
 
@@ -181,8 +180,7 @@
 bool batch_entry::isReady() const
 {
     const absl::Time now = m_hooks.now();
-    return !m_leaving && m_config && m_journal.isLoaded()
-        && now - m_journal.provenAt() < ReadyProof
+    return !m_leaving && m_config && m_journal.isLoaded() && now - m_journal.provenAt() < ReadyProof
         && now - m_configFollower.provenAt() < ReadyProof;
 }
 
@@ -268,13 +266,14 @@
         call.kind = call_kind::Pending;
     if (call.kind != call_kind::Pending) {
         const bool wellFormed = target->id.size() == JobIdDigits
-            && std::all_of(target->id.begin(), target->id.end(),
-                           [](char c) { return absl::ascii_isxdigit(static_cast<unsigned char>(c)); });
+            && std::all_of(target->id.begin(), target->id.end(), [](char c) {
+                                    return absl::ascii_isxdigit(static_cast<unsigned char>(c));
+                                });
         if (!wellFormed) {
-            respond(replyOf({call.kind == call_kind::Submit ? reason::InvalidArgument
-                                                            : reason::UnknownJob,
-                             "a job's id has 16 hexadecimal digits", execution::NotRun,
-                             absl::InfiniteFuture(), 0}));
+            respond(replyOf(
+                {call.kind == call_kind::Submit ? reason::InvalidArgument : reason::UnknownJob,
+                 "a job's id has 16 hexadecimal digits", execution::NotRun, absl::InfiniteFuture(),
+                 0}));
             return;
         }
     }
@@ -301,8 +300,9 @@
         job_reply reply;
         reply.kind = reply_kind::Accepted;
         if (known->job.team != target.team)
-            reply = replyOf({reason::RequestIdReused, "the id belongs to another job; choose another",
-                             execution::NotRun, absl::InfiniteFuture(), 0});
+            reply
+                = replyOf({reason::RequestIdReused, "the id belongs to another job; choose another",
+                           execution::NotRun, absl::InfiniteFuture(), 0});
         respond(reply);
         return;
     }
@@ -348,15 +348,15 @@
             } else {
                 reply.kind = reply_kind::Unknown;
                 reply.why = reason::LogUnsettled;
-                reply.message = "the store did not say whether the job was recorded; repeat the call";
+                reply.message
+                    = "the store did not say whether the job was recorded; repeat the call";
                 decided("job unsettled", id.str(), "");
             }
             respond(reply);
         });
 }
 
-void batch_entry::withJob(const routed_call &target, absl::Time deadline,
-                          const responder &respond,
+void batch_entry::withJob(const routed_call &target, absl::Time deadline, const responder &respond,
                           const std::function<void(const job_state &)> &found)
 {
     const job_id id(target.id);
@@ -381,8 +381,9 @@
                           else if (proven)
                               respond(missing());
                           else
-                              respond(refusal(reason::LogUnavailable,
-                                              "the store does not say whether the job exists; retry"));
+                              respond(
+                                  refusal(reason::LogUnavailable,
+                                          "the store does not say whether the job exists; retry"));
                       });
 }
 
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -197,8 +197,8 @@
                 continue;
             const double work = static_cast<double>(chainMs(job.job, 0));
             const std::int64_t rest = chainMs(job.job, s);
-            const auto objective = static_cast<std::int64_t>(queue->stretch * work)
-                + queue->latencyGoalMs;
+            const auto objective
+                = static_cast<std::int64_t>(queue->stretch * work) + queue->latencyGoalMs;
             waiting_unit unit;
             unit.job = &job;
             unit.step = &step;
--- a/src/batch/log_follower.cpp
+++ b/src/batch/log_follower.cpp
@@ -82,9 +82,8 @@
     // Pages are no snapshot: records after the end of the first page are read again below, which
     // has no effect, as a record is applied once per key.
     std::erase_if(m_pages, [this](const stored_record &one) { return one.offset >= m_loadEnd; });
-    std::sort(m_pages.begin(), m_pages.end(), [](const stored_record &a, const stored_record &b) {
-        return a.offset < b.offset;
-    });
+    std::sort(m_pages.begin(), m_pages.end(),
+              [](const stored_record &a, const stored_record &b) { return a.offset < b.offset; });
     m_position = m_loadEnd;
     m_provenAt = std::max(m_provenAt, m_loadSentAt);
     m_failures = 0;
--- a/src/batch/log_writer.cpp
+++ b/src/batch/log_writer.cpp
@@ -94,7 +94,8 @@
 void log_writer::sendNext()
 {
     std::size_t records = 0;
-    while (!m_queue.empty() && (records == 0 || records + m_queue.front().size <= MostRecordsPerBatch)) {
+    while (!m_queue.empty()
+           && (records == 0 || records + m_queue.front().size <= MostRecordsPerBatch)) {
         records += m_queue.front().size;
         m_sent.push_back(std::move(m_queue.front()));
         m_queue.pop_front();
--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -41,8 +41,7 @@
         return false;
     if (input.silent.contains(room.agent) || input.state->isEvicted(room.agent))
         return false;
-    if (unit.state->failedOn.contains(room.agent)
-        && unit.state->failedOn.size() * 2 < rooms.size())
+    if (unit.state->failedOn.contains(room.agent) && unit.state->failedOn.size() * 2 < rooms.size())
         return false;
     const std::string &label = unit.step->requiredLabel;
     return label.empty()
@@ -64,8 +63,7 @@
     limit(available.accelerators, need.accelerators);
     if (unit.step->maxPerWorker > 0) {
         std::int64_t here = 0;
-        const auto &units
-            = unit.job->occurrences[unit.id.occurrence].steps[unit.id.step].units;
+        const auto &units = unit.job->occurrences[unit.id.occurrence].steps[unit.id.step].units;
         for (const unit_state &other : units) {
             if (!other.active)
                 continue;
@@ -110,11 +108,12 @@
     if (total < unit.members)
         return {};
     // Best fit keeps whole workers free for items that need all accelerators of one.
-    std::stable_sort(candidates.begin(), candidates.end(), [](const candidate &a, const candidate &b) {
-        if (a.available.accelerators != b.available.accelerators)
-            return a.available.accelerators < b.available.accelerators;
-        return a.available.cpuMilli < b.available.cpuMilli;
-    });
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [](const candidate &a, const candidate &b) {
+                         if (a.available.accelerators != b.available.accelerators)
+                             return a.available.accelerators < b.available.accelerators;
+                         return a.available.cpuMilli < b.available.cpuMilli;
+                     });
     std::vector<std::size_t> chosen;
     for (const candidate &one : candidates) {
         for (std::uint32_t i = 0; i < one.capacity && chosen.size() < unit.members; ++i)
@@ -284,9 +283,9 @@
             return;
         }
         const std::vector<std::string> racks = racksOf(unit);
-        const bool possible
-            = std::any_of(racks.begin(), racks.end(),
-                          [&](const std::string &rack) { return rackCouldHold(unit, rack); });
+        const bool possible = std::any_of(racks.begin(), racks.end(), [&](const std::string &rack) {
+            return rackCouldHold(unit, rack);
+        });
         if (possible && urgent && preempt(unit))
             return;
         if (possible && !urgent && unit.lateness == 0) {
@@ -412,7 +411,7 @@
     const batch_team *team = input.config->findTeam(unit.job->job.team);
     return team != nullptr
         && urgentUse(team->id) + unit.step->item.accelerators * unit.members
-            <= team->guaranteedAccelerators;
+        <= team->guaranteedAccelerators;
 }
 
 std::vector<plan_maker::victim> plan_maker::victimsOn(const waiting_unit &unit,
--- a/src/entry/config_value.cpp
+++ b/src/entry/config_value.cpp
@@ -33,7 +33,7 @@
     {
         for (const auto &[name, value] : object.items()) {
             if (!allowed.contains(name))
-                m_fault = absl::StrFormat("unknown field \"%s\"; see docs/operations.md", name);
+                m_fault = absl::StrFormat("unknown field \"%s\"; see docs/OPERATIONS.md", name);
         }
     }
 
@@ -122,7 +122,7 @@
     const std::vector<std::string> parts = absl::StrSplit(key, '/');
     const json object = value.empty() ? json::object() : json::parse(value, nullptr, false);
     if (!object.is_object())
-        return refuse(key, "the value must be a JSON object; see docs/operations.md");
+        return refuse(key, "the value must be a JSON object; see docs/OPERATIONS.md");
     if (parts.size() == 2 && parts[0] == "team" && !parts[1].empty())
         return parseTeam(key, parts[1], object);
     if (parts.size() == 3 && parts[0] == "contract" && !parts[1].empty() && !parts[2].empty())
--- a/src/fakes/fake_store.cpp
+++ b/src/fakes/fake_store.cpp
@@ -88,9 +88,8 @@
         answer(std::move(current));
         return;
     }
-    m_clock->after(ReadPoll, [this, request, until, answer] {
-        waitForRecord(request, until, answer);
-    });
+    m_clock->after(ReadPoll,
+                   [this, request, until, answer] { waitForRecord(request, until, answer); });
 }
 
 void fake_store::settleGroup(group_state *group)
@@ -147,9 +146,9 @@
         });
     };
     batch::store_port port;
-    port.append = [this, client, alive, blocked, answerLater](
-                      const batch::append_request &request,
-                      const std::function<void(batch::append_answer)> &done) {
+    port.append = [this, client, alive, blocked,
+                   answerLater](const batch::append_request &request,
+                                const std::function<void(batch::append_answer)> &done) {
         if (blocked(done, batch::append_answer {}, request.deadline))
             return;
         const store_faults &fault = faults[client];
@@ -171,32 +170,29 @@
         else
             answerLater(done, answer);
     };
-    port.read = [this, blocked, answerLater](
-                    const batch::read_request &request,
-                    const std::function<void(batch::read_answer)> &done) {
+    port.read = [this, blocked, answerLater](const batch::read_request &request,
+                                             const std::function<void(batch::read_answer)> &done) {
         if (blocked(done, batch::read_answer {}, request.deadline))
             return;
-        waitForRecord(request, m_clock->now() + request.wait,
-                      [answerLater, done](const batch::read_answer &answer) {
-                          answerLater(done, answer);
-                      });
+        waitForRecord(
+            request, m_clock->now() + request.wait,
+            [answerLater, done](const batch::read_answer &answer) { answerLater(done, answer); });
     };
-    port.newest = [this, blocked, answerLater](
-                      const batch::newest_request &request,
-                      const std::function<void(batch::newest_answer)> &done) {
-        if (blocked(done, batch::newest_answer {}, request.deadline))
-            return;
-        const topic_state &state = m_topics[request.topic];
-        batch::newest_answer answer;
-        answer.outcome = store_outcome::Ok;
-        answer.end = state.records.size();
-        for (const auto &[key, index] : state.newest)
-            answer.records.push_back(state.records[index]);
-        answerLater(done, answer);
-    };
-    port.join = [this, blocked, answerLater](
-                    const batch::join_request &request,
-                    const std::function<void(batch::join_answer)> &done) {
+    port.newest
+        = [this, blocked, answerLater](const batch::newest_request &request,
+                                       const std::function<void(batch::newest_answer)> &done) {
+              if (blocked(done, batch::newest_answer {}, request.deadline))
+                  return;
+              const topic_state &state = m_topics[request.topic];
+              batch::newest_answer answer;
+              answer.outcome = store_outcome::Ok;
+              answer.end = state.records.size();
+              for (const auto &[key, index] : state.newest)
+                  answer.records.push_back(state.records[index]);
+              answerLater(done, answer);
+          };
+    port.join = [this, blocked, answerLater](const batch::join_request &request,
+                                             const std::function<void(batch::join_answer)> &done) {
         if (!blocked(done, batch::join_answer {}, request.deadline))
             answerLater(done, joinNow(request));
     };
--- a/src/journal/cluster_state.cpp
+++ b/src/journal/cluster_state.cpp
@@ -1,8 +1,8 @@
 /// @file Reduction of the journal: dispatch, queries, retention and snapshots.
 #include "hyssoppond/journal/cluster_state_base.h"
 
-#include "hyssoppond/journal/record_codec_func.h"
 #include "hyssoppond/base/sealed_archive_func.h"
+#include "hyssoppond/journal/record_codec_func.h"
 #include "verdict_func.h"
 
 #include <algorithm>
--- a/src/loop/event_loop.cpp
+++ b/src/loop/event_loop.cpp
@@ -94,7 +94,8 @@
 
 absl::Time event_loop::nextDeadline()
 {
-    const absl::Time timer = m_timers.empty() ? absl::InfiniteFuture() : m_timers.begin()->first.first;
+    const absl::Time timer
+        = m_timers.empty() ? absl::InfiniteFuture() : m_timers.begin()->first.first;
     return std::min(timer, m_checkAt);
 }
 
@@ -103,8 +104,8 @@
     const absl::Duration left = nextDeadline() - steadyNow();
     int timeoutMs = LongestWaitMs;
     if (left < absl::Milliseconds(LongestWaitMs))
-        timeoutMs = static_cast<int>(
-            std::max<std::int64_t>(0, absl::ToInt64Milliseconds(absl::Ceil(left, absl::Milliseconds(1)))));
+        timeoutMs = static_cast<int>(std::max<std::int64_t>(
+            0, absl::ToInt64Milliseconds(absl::Ceil(left, absl::Milliseconds(1)))));
     std::array<epoll_event, EventsPerWait> events {};
     const int count = epoll_wait(m_epoll, events.data(), EventsPerWait, timeoutMs);
     for (int i = 0; i < count; ++i) {
--- a/src/loop/http_server.cpp
+++ b/src/loop/http_server.cpp
@@ -29,6 +29,13 @@
     bool gone = false;
 };
 
+MHD_Result addArgument(void *query, MHD_ValueKind /*kind*/, const char *name, const char *value)
+{
+    (*static_cast<std::map<std::string, std::string> *>(query))[name]
+        = value == nullptr ? "" : value;
+    return MHD_YES;
+}
+
 std::string headerOf(MHD_Connection *connection, const char *name)
 {
     const char *value = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
@@ -136,6 +143,8 @@
         current->connection = connection;
         current->request.method = method;
         current->request.path = url;
+        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &addArgument,
+                                  &current->request.query);
         current->request.host = headerOf(connection, MHD_HTTP_HEADER_HOST);
         current->request.authorization = headerOf(connection, MHD_HTTP_HEADER_AUTHORIZATION);
         if (!options.deadlineHeader.empty())
@@ -188,7 +197,8 @@
         throw std::runtime_error("cannot listen on " + options.host + ":"
                                  + std::to_string(options.port) + "; choose a free address");
     m_impl->epoll = MHD_get_daemon_info(m_impl->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
-    loop->watch(m_impl->epoll, EPOLLIN, [impl = m_impl.get()](std::uint32_t) { impl->runDaemon(); });
+    loop->watch(m_impl->epoll, EPOLLIN,
+                [impl = m_impl.get()](std::uint32_t) { impl->runDaemon(); });
     loop->onRound([impl = m_impl.get()] { return impl->nextDeadline(); });
 }
 
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -1,9 +1,56 @@
-/// @file Tests of the adapter to the users' platform.
+/// @file Tests of the adapter to the users' platform. Each names the failure that it guards
+/// against.
 #include "platform/deploy_settings_type.h"
+#include "platform/front_adapter.h"
+#include "platform/store_adapter.h"
+#include "platform/wire_decode_func.h"
 
 #include <gtest/gtest.h>
+#include <random>
+#include <rapidcheck.h>
 
 namespace hyssoppond::platform {
+namespace {
+
+constexpr const char *Heartbeat
+    = R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"state":"ready",)"
+      R"("coldLeftMs":0,"capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"],)"
+      R"("clockMs":482113,"seq":4,"born":1700000000123})";
+
+constexpr const char *Job = R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,)"
+                            R"("estimateMs":900,"affinity":"r1-3"},{"count":20,"cpu":2000,)"
+                            R"("gpu":1,"gang":true,"sameRack":true,"dependsOn":[0],)"
+                            R"("checkpointed":true}]})";
+
+constexpr const char *Lists
+    = R"({"clockMs":482113,"born":17,"running":[["5c0e7a21d94b36f8.0.1.17",2,"00ff",41]],)"
+      R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+
+constexpr const char *Config
+    = R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","priority":1,)"
+      R"("service":"s","maxAttempts":3,"stretch":3.0,"targetLatencyMs":1000,"public":false}],)"
+      R"("services":[{"name":"s","admissionCheck":true}],)"
+      R"("tenants":[{"name":"t","apiKeys":["k1","k2"],"guaranteed":{"gpu":24}}]})";
+
+/// Damages a text in one place, by a fixed seed.
+std::string damaged(std::string text, std::uint32_t seed)
+{
+    std::mt19937 random(seed);
+    switch (random() % 4) {
+    case 0:
+        text[random() % text.size()] = static_cast<char>(random());
+        break;
+    case 1:
+        text.resize(random() % text.size());
+        break;
+    case 2:
+        text.insert(random() % text.size(), 1 + random() % 3, static_cast<char>(random()));
+        break;
+    default:
+        text.replace(random() % text.size(), 1, "9999999999999999999999");
+    }
+    return text;
+}
 
 // Guards against a settings file whose faults are reported one at a time or not at all.
 TEST(deploy_settings_test, listsAllFaultsAtOnce)
@@ -14,4 +61,152 @@
         EXPECT_NE(read.error().message.find(field), std::string::npos) << field;
 }
 
+// Guards against new fields of the platform that stop a process, and fields without a value.
+TEST(deploy_settings_test, ignoresUnknownAndEmptyFields)
+{
+    const auto read = parseDeploySettings(
+        R"({"name":"n","zone":"z","front":"10.0.0.1:80","readiness":"10.0.0.1:81","control":"",)"
+        R"("worker_address":"","service":"","store_address":"10.0.0.2:90","new":{},)"
+        R"("address":"10.0.0.1","own_ports":[7000,7015],"longest_lease_ms":null})");
+    ASSERT_TRUE(read.has_value()) << read.error().message;
+    EXPECT_EQ(read->front.port, 80);
+    EXPECT_EQ(read->metricsPort, 7000);
+    EXPECT_EQ(read->wakePort, 7001);
+    EXPECT_FALSE(read->worker.isSet());
+}
+
+// Guards against a field that is read under a wrong name or left out.
+TEST(wire_decode_test, readsAJob)
+{
+    const auto job = decodeJob(Job);
+    ASSERT_TRUE(job.has_value());
+    ASSERT_EQ(job->steps.size(), 2U);
+    EXPECT_EQ(job->steps[0].dataRack, "r1-3");
+    EXPECT_EQ(job->steps[0].item.accelerators, 0);
+    EXPECT_TRUE(job->steps[1].gang && job->steps[1].sameRack && job->steps[1].checkpointed);
+    EXPECT_EQ(job->steps[1].dependsOn, std::vector<std::uint32_t> {0});
+}
+
+// Guards against a job that is accepted although a field is not as documented.
+TEST(wire_decode_test, refusesFieldsOfOtherTypesAndOverflows)
+{
+    for (const char *body :
+         {"", "[]", "{}", R"({"steps":{}})", R"({"steps":[{"count":-1}]})",
+          R"({"steps":[{"count":1,"cpu":1e300}]})", R"({"steps":[{"count":99999999999}]})",
+          R"({"steps":[{"count":1,"gang":1}]})", R"({"steps":[{"count":1,"dependsOn":[0]}]})",
+          R"({"steps":[{"count":1,"dependsOn":"x"}]})", R"({"spec":7,"steps":[{"count":1}]})"}) {
+        const auto job = decodeJob(body);
+        EXPECT_FALSE(job.has_value()) << body;
+    }
+}
+
+// Guards against heartbeats of another writer that name a usable worker.
+TEST(wire_decode_test, heartbeatOfAnotherWriterNamesNoWorker)
+{
+    const auto worker = decodeHeartbeat("i-1", Heartbeat, 0);
+    ASSERT_TRUE(worker.has_value());
+    EXPECT_EQ(worker->rack, "r1-3");
+    EXPECT_EQ(worker->capacity.accelerators, 8);
+    EXPECT_EQ(worker->bornMs, 1'700'000'000'123);
+    for (const char *body : {"", "7", R"({"service":"s"})",
+                             R"({"service":"s","zone":"z","state":"odd","born":1,"capacity":{}})",
+                             R"({"service":3,"zone":"z","state":"ready","born":1,"capacity":{}})"})
+        EXPECT_FALSE(decodeHeartbeat("i-1", body, 0).has_value()) << body;
+}
+
+// Guards against a decoder that crashes on damaged bytes.
+TEST(wire_decode_test, damagedBytesBreakNoDecoder)
+{
+    for (std::uint32_t seed = 0; seed < 4'000; ++seed) {
+        (void)decodeJob(damaged(Job, seed));
+        (void)decodeConfig(damaged(Config, seed));
+        (void)decodeHeartbeat("i-1", damaged(Heartbeat, seed), 0);
+        (void)decodeLook(damaged(Lists, seed));
+        (void)decodeNewest(damaged(
+            R"({"items":[{"key":"config","value":"YWI=","offset":4}],"more":false,"end":6})",
+            seed));
+        (void)parseDeploySettings(damaged(R"({"name":"n","zone":"z"})", seed));
+    }
+}
+
+// Guards against a configuration whose queues, keys or guarantees are lost on the way.
+TEST(wire_decode_test, readsAConfiguration)
+{
+    const auto config = decodeConfig(Config);
+    ASSERT_TRUE(config.has_value());
+    ASSERT_EQ(config->queues.size(), 1U);
+    EXPECT_EQ(config->queues[0].maxAttempts, 3U);
+    EXPECT_DOUBLE_EQ(config->queues[0].stretch, 3.0);
+    ASSERT_EQ(config->teams.size(), 1U);
+    EXPECT_EQ(config->teams[0].keys.size(), 2U);
+    EXPECT_EQ(config->teams[0].guaranteedAccelerators, 24);
+    EXPECT_FALSE(decodeConfig("{}").has_value());
+}
+
+// Guards against ends that are read as other ends, and against items of foreign names.
+TEST(wire_decode_test, readsListsOfRuns)
+{
+    const auto lists = decodeLook(Lists);
+    ASSERT_TRUE(lists.has_value());
+    ASSERT_EQ(lists->running.size(), 1U);
+    EXPECT_EQ(taskName(lists->running[0].run), "5c0e7a21d94b36f8.0.1.17");
+    EXPECT_EQ(lists->running[0].percent, 41);
+    ASSERT_EQ(lists->ended.size(), 1U);
+    EXPECT_EQ(lists->ended[0].how, batch::run_end::Done);
+    EXPECT_EQ(lists->bornMs, 17);
+    EXPECT_FALSE(parseTaskName("a.b.c.d", 1).has_value());
+    EXPECT_FALSE(parseTaskName("a.0.1", 1).has_value());
+}
+
+// Guards against records that come back otherwise than they were appended.
+TEST(store_adapter_test, recordsComeBackAsAppended)
+{
+    rc::check([](const std::vector<std::pair<std::string, std::string>> &content) {
+        std::vector<batch::stored_record> records;
+        for (const auto &[key, value] : content)
+            records.push_back({key.substr(0, 255), value, 0});
+        const std::string header(16, '\0');
+        const auto read = decodeRecords("keyed.t", 40, header + encodeRecords("keyed.t", records));
+        RC_ASSERT(read.has_value());
+        RC_ASSERT(read->records.size() == records.size());
+        for (std::size_t i = 0; i < records.size(); ++i) {
+            RC_ASSERT(read->records[i].key == records[i].key);
+            RC_ASSERT(read->records[i].value == records[i].value);
+            RC_ASSERT(read->records[i].offset == 40 + i);
+        }
+    });
+    EXPECT_FALSE(decodeRecords("keyed.t", 0, "short").has_value());
+    EXPECT_FALSE(decodeRecords("t", 0, std::string(16, '\0') + "\x7f\xff\xff\xff").has_value());
+}
+
+// Guards against a refusal that tells callers no time to come back, or a wrong status.
+TEST(front_adapter_test, translatesCallsAndReplies)
+{
+    http_request request;
+    request.method = "POST";
+    request.host = "host:8521";
+    request.path = "/p/5c0e7a21d94b36f8";
+    request.authorization = "Bearer k1";
+    request.deadlineMs = "1500";
+    request.body = Job;
+    const absl::Time now = absl::UnixEpoch();
+    const auto call = decodeCall(request, now);
+    ASSERT_TRUE(call.has_value());
+    EXPECT_EQ(call->host, "host");
+    EXPECT_EQ(call->key, "k1");
+    EXPECT_EQ(call->deadline, now + absl::Milliseconds(1500));
+    ASSERT_TRUE(call->job.has_value());
+    request.method = "PATCH";
+    EXPECT_FALSE(decodeCall(request, now).has_value());
+
+    batch::job_reply reply;
+    reply.kind = batch::reply_kind::Refused;
+    reply.retryAfter = absl::Milliseconds(1200);
+    const http_response response = encodeReply(reply);
+    EXPECT_EQ(response.status, 503);
+    ASSERT_EQ(response.headers.size(), 1U);
+    EXPECT_EQ(response.headers[0].second, "2");
+}
+
+} // namespace
 } // namespace hyssoppond::platform
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -221,15 +221,16 @@
         });
     }
 
-    std::function<void(const char *, const std::string &, const std::string &)>
-    noteAs(const std::string &name)
-    {
-        return [this, name](const char *decision, const std::string &item,
-                            const std::string &detail) {
-            m_lines.emplace_back(item, absl::StrFormat("%7.3f %s: %s %s %s",
-                                                       absl::ToDoubleSeconds(clock.now() - m_began),
-                                                       name, decision, item, detail));
-        };
+    std::function<void(const char *, const std::string &, const std::string &)> noteAs(
+        const std::string &name)
+    {
+        return
+            [this, name](const char *decision, const std::string &item, const std::string &detail) {
+                m_lines.emplace_back(item,
+                                     absl::StrFormat("%7.3f %s: %s %s %s",
+                                                     absl::ToDoubleSeconds(clock.now() - m_began),
+                                                     name, decision, item, detail));
+            };
     }
 
     std::uint64_t m_incarnations = 0;
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -333,8 +333,7 @@
             break;
         case 3: {
             const std::string cut = clock.uniform() < 0.5 ? agent : entry;
-            (clock.uniform() < 0.5 ? site.store.faults[cut].silent
-                                   : site.store.faults[cut].refuse)
+            (clock.uniform() < 0.5 ? site.store.faults[cut].silent : site.store.faults[cut].refuse)
                 = true;
             clock.after(absl::Seconds(16 * clock.uniform()), [&site, cut] {
                 site.store.faults[cut].silent = false;
@@ -360,9 +359,8 @@
             break;
         case 6:
             site.workers.at(agent)->faults.unreachable = true;
-            clock.after(absl::Seconds(5 * clock.uniform()), [&site, agent] {
-                site.workers.at(agent)->faults.unreachable = false;
-            });
+            clock.after(absl::Seconds(5 * clock.uniform()),
+                        [&site, agent] { site.workers.at(agent)->faults.unreachable = false; });
             break;
         default:
             break;
@@ -373,7 +371,8 @@
         fault = {};
     clock.runFor(absl::Seconds(90));
     for (const std::string &breach : site.history.breaches)
-        ADD_FAILURE() << breach << "; now " << absl::FormatTime(clock.now()) << "\n" << site.linesOf(breach.substr(0, breach.find(' ')));
+        ADD_FAILURE() << breach << "; now " << absl::FormatTime(clock.now()) << "\n"
+                      << site.linesOf(breach.substr(0, breach.find(' ')));
     const batch_state &state = site.entries.begin()->second->node->state();
     for (const std::string &id : ids) {
         const job_state *job = state.find(job_id(id));
