--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -78,7 +78,7 @@
     void giveAway(const process_id &agent);
     plan_input planInput() const;
     void plan();
-    void record(std::vector<batch_record> decisions);
+    void record(const std::vector<batch_record> &decisions);
     /// Agents that have to act on `decision`.
     void collectAddressees(const batch_record &decision, std::set<process_id> *agents) const;
     void wakeProcess(const process_id &process) const;
--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -82,7 +82,7 @@
     /// The decider has seen that a job is over.
     void onWake() { m_journal.wake(); }
 
-    void handle(job_call call, responder respond);
+    void handle(job_call call, const responder &respond);
     /// New connections are welcome.
     bool isReady() const;
 
@@ -119,7 +119,6 @@
     absl::Duration retryAfter() const;
 
     batch_entry_options m_options;
-    store_port *m_store;
     loop_hooks m_hooks;
     batch_state m_state;
     std::optional<site_config> m_config;
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -277,7 +277,7 @@
         }
     }
     if (!m_recording && !ends.empty())
-        record(std::move(ends));
+        record(ends);
 }
 
 plan_input batch_decider::planInput() const
@@ -298,13 +298,13 @@
 {
     m_planDue = false;
     const plan_input input = planInput();
-    std::vector<batch_record> decisions = m_scheduler.plan(input);
+    const std::vector<batch_record> decisions = m_scheduler.plan(input);
     m_planAt = m_scheduler.nextDeadline(input);
     if (!decisions.empty())
-        record(std::move(decisions));
+        record(decisions);
 }
 
-void batch_decider::record(std::vector<batch_record> decisions)
+void batch_decider::record(const std::vector<batch_record> &decisions)
 {
     std::vector<stored_record> records;
     std::set<process_id> addressees;
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -75,7 +75,6 @@
 
 batch_entry::batch_entry(batch_entry_options options, store_port *store, loop_hooks hooks)
     : m_options(std::move(options))
-    , m_store(store)
     , m_hooks(std::move(hooks))
     , m_configFollower({m_options.configTopic}, store, m_hooks)
     , m_journal({m_options.journalTopic}, store, m_hooks)
@@ -246,7 +245,7 @@
     return fail(reason::UnknownTeam, "the key is not in force; use one of the team's keys");
 }
 
-void batch_entry::handle(job_call call, responder respond)
+void batch_entry::handle(job_call call, const responder &respond)
 {
     if (!m_config) {
         respond(refusal(reason::LogUnavailable, "no configuration yet; retry"));
--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -240,11 +240,12 @@
 
 batch::item_worker_port fake_item_worker::portTo(std::shared_ptr<bool> alive)
 {
+    const std::shared_ptr<bool> living = std::move(alive);
     // Carries `act` out as the faults say, and answers unless they forbid it.
-    const auto carryOut = [this, alive](auto act, auto done, auto none, absl::Time deadline) {
-        const auto silent = [this, alive, done, none, deadline] {
-            m_clock->at(deadline, [alive, done, none] {
-                if (*alive)
+    const auto carryOut = [this, living](auto act, auto done, auto none, absl::Time deadline) {
+        const auto silent = [this, living, done, none, deadline] {
+            m_clock->at(deadline, [living, done, none] {
+                if (*living)
                     done(none);
             });
         };
@@ -268,8 +269,8 @@
             silent();
             return;
         }
-        m_clock->after(OrderTime, [alive, done, answer] {
-            if (*alive)
+        m_clock->after(OrderTime, [living, done, answer] {
+            if (*living)
                 done(answer);
         });
     };
@@ -284,17 +285,17 @@
         carryOut([this, order](std::int64_t) { return stopNow(order); }, done,
                  batch::order_answer {}, order.deadline);
     };
-    port.look = [this, carryOut, alive](const batch::look_order &order,
-                                        const std::function<void(batch::look_answer)> &done) {
+    port.look = [this, carryOut, living](const batch::look_order &order,
+                                         const std::function<void(batch::look_answer)> &done) {
         carryOut([this, order](std::int64_t shift) { return lookNow(order, shift); },
-                 [this, order, alive, done, life = m_life](const batch::look_answer &first) {
+                 [this, order, living, done, life = m_life](const batch::look_answer &first) {
                      if (first.outcome != order_outcome::Done || !first.ended.empty()) {
                          done(first);
                          return;
                      }
                      answerWhenEnded(order, m_clock->now() + order.wait, life,
-                                     [alive, done](const batch::look_answer &answer) {
-                                         if (*alive)
+                                     [living, done](const batch::look_answer &answer) {
+                                         if (*living)
                                              done(answer);
                                      });
                  },
--- a/src/fakes/fake_store.cpp
+++ b/src/fakes/fake_store.cpp
@@ -117,44 +117,45 @@
 
 batch::store_port fake_store::portOf(const std::string &client, std::shared_ptr<bool> alive)
 {
+    const std::shared_ptr<bool> living = std::move(alive);
     // Calls `done` with `failure` if the client's faults stop the call; else says to go on.
-    const auto blocked = [this, client, alive](auto done, auto failure, absl::Time deadline) {
+    const auto blocked = [this, client, living](auto done, auto failure, absl::Time deadline) {
         ++calls;
         const store_faults &fault = faults[client];
         if (fault.silent) {
-            m_clock->at(deadline, [alive, done, failure]() mutable {
+            m_clock->at(deadline, [living, done, failure]() mutable {
                 failure.outcome = store_outcome::Unknown;
-                if (*alive)
+                if (*living)
                     done(failure);
             });
             return true;
         }
         if (fault.refuse) {
-            m_clock->after(fault.answerDelay, [alive, done, failure]() mutable {
+            m_clock->after(fault.answerDelay, [living, done, failure]() mutable {
                 failure.outcome = store_outcome::Refused;
-                if (*alive)
+                if (*living)
                     done(failure);
             });
             return true;
         }
         return false;
     };
-    const auto answerLater = [this, client, alive](auto done, auto answer) {
-        m_clock->after(faults[client].answerDelay, [alive, done, answer] {
-            if (*alive)
+    const auto answerLater = [this, client, living](auto done, auto answer) {
+        m_clock->after(faults[client].answerDelay, [living, done, answer] {
+            if (*living)
                 done(answer);
         });
     };
     batch::store_port port;
-    port.append = [this, client, alive, blocked,
+    port.append = [this, client, living, blocked,
                    answerLater](const batch::append_request &request,
                                 const std::function<void(batch::append_answer)> &done) {
         if (blocked(done, batch::append_answer {}, request.deadline))
             return;
         const store_faults &fault = faults[client];
-        const auto unanswered = [this, alive, done, deadline = request.deadline] {
-            m_clock->at(deadline, [alive, done] {
-                if (*alive)
+        const auto unanswered = [this, living, done, deadline = request.deadline] {
+            m_clock->at(deadline, [living, done] {
+                if (*living)
                     done({store_outcome::Unknown, 0});
             });
         };
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -163,6 +163,7 @@
 {
     rc::check([](const std::vector<std::pair<std::string, std::string>> &content) {
         std::vector<batch::stored_record> records;
+        records.reserve(content.size());
         for (const auto &[key, value] : content)
             records.push_back({key.substr(0, 255), value, 0});
         const std::string header(16, '\0');
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -35,12 +35,12 @@
     /// Starts a site and waits until it serves.
     void start(std::uint64_t seed = 1, std::size_t workers = 3)
     {
-        site = std::make_unique<batch_site>(seed, workers);
-        site->clock.runFor(StartTime);
-        ASSERT_NE(deciderOf(*site), "");
+        m_site = std::make_unique<batch_site>(seed, workers);
+        m_site->clock.runFor(StartTime);
+        ASSERT_NE(deciderOf(*m_site), "");
     }
 
-    std::unique_ptr<batch_site> site;
+    std::unique_ptr<batch_site> m_site;
 };
 
 // Guards against a path that accepts a job and never shows its end.
@@ -48,12 +48,12 @@
 {
     start();
     const std::string id = batch_site::idOf(1);
-    const auto reply = site->submit("entry-0", id, "normal", batch_site::stepOf(4, 2, true));
-    site->clock.runFor(absl::Seconds(4));
+    const auto reply = m_site->submit("entry-0", id, "normal", batch_site::stepOf(4, 2, true));
+    m_site->clock.runFor(absl::Seconds(4));
     EXPECT_EQ(reply->kind, reply_kind::Accepted);
-    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Completed);
-    EXPECT_EQ(statusAt(site.get(), "entry-1", id), job_status::Completed);
-    EXPECT_EQ(site->history.starts, 4U);
+    EXPECT_EQ(statusAt(m_site.get(), "entry-0", id), job_status::Completed);
+    EXPECT_EQ(statusAt(m_site.get(), "entry-1", id), job_status::Completed);
+    EXPECT_EQ(m_site->history.starts, 4U);
 }
 
 // Guards against two jobs of one id when the answer to the first submission was lost.
@@ -61,16 +61,16 @@
 {
     start();
     const std::string id = batch_site::idOf(2);
-    site->store.faults["entry-0"].loseAnswers = 1.0;
-    const auto first = site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
-    site->clock.runFor(absl::Seconds(3));
+    m_site->store.faults["entry-0"].loseAnswers = 1.0;
+    const auto first = m_site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+    m_site->clock.runFor(absl::Seconds(3));
     EXPECT_EQ(first->kind, reply_kind::Unknown);
-    const auto second = site->submit("entry-1", id, "normal", batch_site::stepOf(1, 1, false));
-    site->store.faults["entry-0"].loseAnswers = 0.0;
-    site->clock.runFor(absl::Seconds(6));
+    const auto second = m_site->submit("entry-1", id, "normal", batch_site::stepOf(1, 1, false));
+    m_site->store.faults["entry-0"].loseAnswers = 0.0;
+    m_site->clock.runFor(absl::Seconds(6));
     EXPECT_EQ(second->kind, reply_kind::Accepted);
-    EXPECT_EQ(statusAt(site.get(), "entry-1", id), job_status::Completed);
-    EXPECT_EQ(site->history.starts, 1U);
+    EXPECT_EQ(statusAt(m_site.get(), "entry-1", id), job_status::Completed);
+    EXPECT_EQ(m_site->history.starts, 1U);
 }
 
 // Guards against "refused" for a job that is recorded all the same.
@@ -78,15 +78,15 @@
 {
     start();
     const std::string id = batch_site::idOf(3);
-    site->store.faults["entry-0"].refuse = true;
-    const auto reply = site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
-    site->clock.runFor(absl::Seconds(3));
+    m_site->store.faults["entry-0"].refuse = true;
+    const auto reply = m_site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+    m_site->clock.runFor(absl::Seconds(3));
     EXPECT_EQ(reply->kind, reply_kind::Refused);
     EXPECT_GT(reply->retryAfter, absl::ZeroDuration());
-    site->store.faults["entry-0"].refuse = false;
-    site->clock.runFor(absl::Seconds(5));
-    EXPECT_EQ(site->history.starts, 0U);
-    EXPECT_EQ(site->entries.at("entry-1")->node->state().find(job_id(id)), nullptr);
+    m_site->store.faults["entry-0"].refuse = false;
+    m_site->clock.runFor(absl::Seconds(5));
+    EXPECT_EQ(m_site->history.starts, 0U);
+    EXPECT_EQ(m_site->entries.at("entry-1")->node->state().find(job_id(id)), nullptr);
 }
 
 // Guards against work that goes on after its job was cancelled.
@@ -94,13 +94,13 @@
 {
     start();
     const std::string id = batch_site::idOf(4);
-    site->submit("entry-0", id, "normal", batch_site::stepOf(2, 1, false));
-    site->clock.runFor(absl::Seconds(1));
-    const auto reply = site->call("entry-1", call_kind::Cancel, "/normal/" + id);
-    site->clock.runFor(absl::Seconds(1));
+    m_site->submit("entry-0", id, "normal", batch_site::stepOf(2, 1, false));
+    m_site->clock.runFor(absl::Seconds(1));
+    const auto reply = m_site->call("entry-1", call_kind::Cancel, "/normal/" + id);
+    m_site->clock.runFor(absl::Seconds(1));
     EXPECT_EQ(reply->kind, reply_kind::Cancelled);
-    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Cancelled);
-    for (const auto &[name, worker] : site->workers)
+    EXPECT_EQ(statusAt(m_site.get(), "entry-0", id), job_status::Cancelled);
+    for (const auto &[name, worker] : m_site->workers)
         EXPECT_EQ(worker->running(), 0U) << name;
 }
 
@@ -109,11 +109,12 @@
 {
     start();
     const std::string id = batch_site::idOf(5);
-    site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
-    site->clock.runFor(absl::Milliseconds(9));
-    const auto reply = site->call("entry-1", call_kind::Status, "/normal/" + id);
-    const auto missing = site->call("entry-1", call_kind::Status, "/normal/" + batch_site::idOf(6));
-    site->clock.runFor(absl::Seconds(1));
+    m_site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+    m_site->clock.runFor(absl::Milliseconds(9));
+    const auto reply = m_site->call("entry-1", call_kind::Status, "/normal/" + id);
+    const auto missing
+        = m_site->call("entry-1", call_kind::Status, "/normal/" + batch_site::idOf(6));
+    m_site->clock.runFor(absl::Seconds(1));
     EXPECT_EQ(reply->kind, reply_kind::Status);
     EXPECT_EQ(missing->kind, reply_kind::NoJob);
 }
@@ -122,89 +123,89 @@
 TEST_F(batch_test, restartedAgentAdoptsTheRunsOfItsWorker)
 {
     start(1, 1);
-    site->workers.at("agent-0")->itemTime = absl::Seconds(8);
+    m_site->workers.at("agent-0")->itemTime = absl::Seconds(8);
     const std::string id = batch_site::idOf(7);
-    site->submit("entry-0", id, "normal", batch_site::stepOf(3, 1, false));
-    site->clock.runFor(absl::Seconds(2));
-    site->kill("agent-0");
-    site->clock.runFor(absl::Seconds(3));
-    site->startAgent("agent-0");
-    site->clock.runFor(absl::Seconds(10));
-    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Completed);
-    EXPECT_EQ(site->history.starts, 3U);
+    m_site->submit("entry-0", id, "normal", batch_site::stepOf(3, 1, false));
+    m_site->clock.runFor(absl::Seconds(2));
+    m_site->kill("agent-0");
+    m_site->clock.runFor(absl::Seconds(3));
+    m_site->startAgent("agent-0");
+    m_site->clock.runFor(absl::Seconds(10));
+    EXPECT_EQ(statusAt(m_site.get(), "entry-0", id), job_status::Completed);
+    EXPECT_EQ(m_site->history.starts, 3U);
 }
 
 // Guards against a site that decides nothing after its decider died.
 TEST_F(batch_test, anotherEntryDecidesAfterTheDeciderDied)
 {
     start();
-    const std::string first = deciderOf(*site);
-    site->kill(first);
-    site->clock.runFor(absl::Seconds(3));
-    const std::string second = deciderOf(*site);
+    const std::string first = deciderOf(*m_site);
+    m_site->kill(first);
+    m_site->clock.runFor(absl::Seconds(3));
+    const std::string second = deciderOf(*m_site);
     ASSERT_NE(second, "");
     ASSERT_NE(second, first);
     const std::string id = batch_site::idOf(8);
-    site->submit(second, id, "normal", batch_site::stepOf(1, 1, false));
-    site->clock.runFor(absl::Seconds(4));
-    EXPECT_EQ(statusAt(site.get(), second, id), job_status::Completed);
+    m_site->submit(second, id, "normal", batch_site::stepOf(1, 1, false));
+    m_site->clock.runFor(absl::Seconds(4));
+    EXPECT_EQ(statusAt(m_site.get(), second, id), job_status::Completed);
 }
 
 // Guards against work that is thrown away because the store is down for some seconds.
 TEST_F(batch_test, runsSurviveAnOutageOfTheStore)
 {
     start();
-    for (auto &[name, worker] : site->workers)
+    for (auto &[name, worker] : m_site->workers)
         worker->itemTime = absl::Seconds(11);
     const std::string id = batch_site::idOf(9);
-    site->submit("entry-0", id, "normal", batch_site::stepOf(6, 2, false));
-    site->clock.runFor(absl::Seconds(1));
+    m_site->submit("entry-0", id, "normal", batch_site::stepOf(6, 2, false));
+    m_site->clock.runFor(absl::Seconds(1));
     for (const char *name : {"agent-0", "agent-1", "agent-2", "entry-0", "entry-1"})
-        site->store.faults[name].silent = true;
-    site->clock.runFor(absl::Seconds(9));
-    for (auto &[name, fault] : site->store.faults)
+        m_site->store.faults[name].silent = true;
+    m_site->clock.runFor(absl::Seconds(9));
+    for (auto &[name, fault] : m_site->store.faults)
         fault.silent = false;
-    site->clock.runFor(absl::Seconds(6));
-    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Completed);
-    EXPECT_EQ(site->history.starts, 6U);
+    m_site->clock.runFor(absl::Seconds(6));
+    EXPECT_EQ(statusAt(m_site.get(), "entry-0", id), job_status::Completed);
+    EXPECT_EQ(m_site->history.starts, 6U);
 }
 
 // Guards against a second run while an unreachable agent still extends its worker's lease.
 TEST_F(batch_test, runsOfASilentAgentAreGivenAwayAfterItsLastLease)
 {
     start(1, 2);
-    site->workers.at("agent-0")->itemTime = absl::Seconds(40);
-    site->workers.at("agent-0")->clockRate = 1.0 - WorkerClockError;
-    site->workers.at("agent-1")->setDraining(0);
-    site->clock.runFor(absl::Seconds(2));
+    m_site->workers.at("agent-0")->itemTime = absl::Seconds(40);
+    m_site->workers.at("agent-0")->clockRate = 1.0 - WorkerClockError;
+    m_site->workers.at("agent-1")->setDraining(0);
+    m_site->clock.runFor(absl::Seconds(2));
     const std::string id = batch_site::idOf(10);
-    site->submit("entry-0", id, "normal", batch_site::stepOf(2, 2, false));
-    site->clock.runFor(absl::Seconds(2));
-    ASSERT_EQ(site->workers.at("agent-0")->running(), 2U);
-    site->store.faults["agent-0"].silent = true;
-    site->workers.at("agent-1")->restart();
-    site->clock.runFor(absl::Seconds(10));
-    EXPECT_EQ(site->history.starts, 2U) << "given away while the lease may still be extended";
-    site->clock.runFor(absl::Seconds(12));
-    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Completed);
-    EXPECT_THAT(site->history.breaches, IsEmpty());
+    m_site->submit("entry-0", id, "normal", batch_site::stepOf(2, 2, false));
+    m_site->clock.runFor(absl::Seconds(2));
+    ASSERT_EQ(m_site->workers.at("agent-0")->running(), 2U);
+    m_site->store.faults["agent-0"].silent = true;
+    m_site->workers.at("agent-1")->restart();
+    m_site->clock.runFor(absl::Seconds(10));
+    EXPECT_EQ(m_site->history.starts, 2U) << "given away while the lease may still be extended";
+    m_site->clock.runFor(absl::Seconds(12));
+    EXPECT_EQ(statusAt(m_site.get(), "entry-0", id), job_status::Completed);
+    EXPECT_THAT(m_site->history.breaches, IsEmpty());
 }
 
 // Guards against an eviction that throws away the work of an agent that comes back in time.
 TEST_F(batch_test, agentThatReturnsInTimeKeepsItsRuns)
 {
     start(1, 2);
-    site->workers.at("agent-0")->itemTime = absl::Seconds(14);
-    site->workers.at("agent-1")->itemTime = absl::Seconds(14);
+    m_site->workers.at("agent-0")->itemTime = absl::Seconds(14);
+    m_site->workers.at("agent-1")->itemTime = absl::Seconds(14);
     const std::string id = batch_site::idOf(11);
-    site->submit("entry-0", id, "normal", batch_site::stepOf(4, 4, false));
-    site->clock.runFor(absl::Seconds(1));
-    site->store.faults["agent-0"].silent = true;
-    site->clock.runFor(absl::Seconds(9));
-    site->store.faults["agent-0"].silent = false;
-    site->clock.runFor(absl::Seconds(10));
-    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Completed);
-    EXPECT_EQ(site->history.starts, 4U);
+    m_site->submit("entry-0", id, "normal", batch_site::stepOf(4, 4, false));
+    m_site->clock.runFor(absl::Seconds(1));
+    m_site->store.faults["agent-0"].silent = true;
+    m_site->clock.runFor(absl::Seconds(9));
+    m_site->store.faults["agent-0"].silent = false;
+    m_site->clock.runFor(absl::Seconds(10));
+    EXPECT_EQ(statusAt(m_site.get(), "entry-0", id), job_status::Completed);
+    EXPECT_EQ(m_site->history.starts, 4U);
 }
 
 // Guards against jobs that are lost when all processes and workers lose power at once.
@@ -214,31 +215,31 @@
     std::vector<std::string> ids;
     for (std::uint64_t i = 0; i < 5; ++i) {
         ids.push_back(batch_site::idOf(20 + i));
-        site->submit("entry-0", ids.back(), "normal", batch_site::stepOf(2, 1, false));
+        m_site->submit("entry-0", ids.back(), "normal", batch_site::stepOf(2, 1, false));
     }
-    site->clock.runFor(absl::Seconds(1));
+    m_site->clock.runFor(absl::Seconds(1));
     for (const char *name : {"agent-0", "agent-1", "agent-2", "entry-0", "entry-1"})
-        site->kill(name);
-    for (auto &[name, worker] : site->workers)
+        m_site->kill(name);
+    for (auto &[name, worker] : m_site->workers)
         worker->restart();
-    site->clock.runFor(absl::Seconds(1));
+    m_site->clock.runFor(absl::Seconds(1));
     for (const char *name : {"agent-0", "agent-1", "agent-2"})
-        site->startAgent(name);
-    site->startEntry("entry-0");
-    site->clock.runFor(absl::Seconds(12));
+        m_site->startAgent(name);
+    m_site->startEntry("entry-0");
+    m_site->clock.runFor(absl::Seconds(12));
     for (const std::string &id : ids)
-        EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Completed) << id;
-    EXPECT_THAT(site->history.breaches, IsEmpty());
+        EXPECT_EQ(statusAt(m_site.get(), "entry-0", id), job_status::Completed) << id;
+    EXPECT_THAT(m_site->history.breaches, IsEmpty());
 }
 
 // Guards against keys that stay in force at an entry that cannot read the configuration.
 TEST_F(batch_test, keysAreRefusedWithoutAProofOfTheConfiguration)
 {
     start();
-    site->store.faults["entry-0"].silent = true;
+    m_site->store.faults["entry-0"].silent = true;
     // The long read that is under way may still be answered, and proves its time.
-    site->clock.runFor(absl::Seconds(5) + follower_options().wait);
-    const auto reply = site->call("entry-0", call_kind::Status, "/normal/" + batch_site::idOf(1));
+    m_site->clock.runFor(absl::Seconds(5) + follower_options().wait);
+    const auto reply = m_site->call("entry-0", call_kind::Status, "/normal/" + batch_site::idOf(1));
     EXPECT_EQ(reply->kind, reply_kind::Refused);
 }
 
@@ -247,32 +248,32 @@
 TEST_F(batch_test, clearedRoomIsKeptForTheUrgentGang)
 {
     start(1, 3);
-    for (auto &[name, worker] : site->workers)
+    for (auto &[name, worker] : m_site->workers)
         worker->itemTime = absl::Seconds(6);
     // Items of one accelerator fill all workers, and more of them wait.
     for (std::uint64_t i = 0; i < 40; ++i)
-        site->submit("entry-0", batch_site::idOf(100 + i), "normal",
-                     batch_site::stepOf(1, 1, false));
-    site->clock.runFor(absl::Seconds(1));
+        m_site->submit("entry-0", batch_site::idOf(100 + i), "normal",
+                       batch_site::stepOf(1, 1, false));
+    m_site->clock.runFor(absl::Seconds(1));
     const std::string id = batch_site::idOf(99);
-    site->submit("entry-0", id, "urgent", batch_site::stepOf(1, 8, true));
-    site->clock.runFor(absl::Seconds(1));
-    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Running);
-    site->clock.runFor(absl::Seconds(20));
-    EXPECT_LE(site->history.starts, 40U + 1U + 8U) << "more was stopped than one worker holds";
+    m_site->submit("entry-0", id, "urgent", batch_site::stepOf(1, 8, true));
+    m_site->clock.runFor(absl::Seconds(1));
+    EXPECT_EQ(statusAt(m_site.get(), "entry-0", id), job_status::Running);
+    m_site->clock.runFor(absl::Seconds(20));
+    EXPECT_LE(m_site->history.starts, 40U + 1U + 8U) << "more was stopped than one worker holds";
 }
 
 // Guards against a job whose item always fails and that is never given up.
 TEST_F(batch_test, jobFailsAfterAllAttempts)
 {
     start();
-    for (auto &[name, worker] : site->workers)
+    for (auto &[name, worker] : m_site->workers)
         worker->faults.failAll = true;
     const std::string id = batch_site::idOf(12);
-    site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
-    site->clock.runFor(absl::Seconds(60));
-    EXPECT_EQ(statusAt(site.get(), "entry-0", id), job_status::Failed);
-    EXPECT_EQ(site->history.starts, 3U);
+    m_site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+    m_site->clock.runFor(absl::Seconds(60));
+    EXPECT_EQ(statusAt(m_site.get(), "entry-0", id), job_status::Failed);
+    EXPECT_EQ(m_site->history.starts, 3U);
 }
 
 // Guards against a submission that is accepted and can never be carried out.
--- a/tests/loop_test.cpp
+++ b/tests/loop_test.cpp
@@ -32,29 +32,29 @@
     loop_test()
     {
         // Bounds the test if an answer never comes.
-        loop.callAt(event_loop::steadyNow() + absl::Seconds(20), [this] { loop.stop(); });
+        m_loop.callAt(event_loop::steadyNow() + absl::Seconds(20), [this] { m_loop.stop(); });
     }
 
     std::unique_ptr<http_server> serve(http_server::handler handle)
     {
-        options.host = "127.0.0.1";
-        options.port = freePort(SOCK_STREAM);
-        options.maxBodyBytes = 100;
-        return std::make_unique<http_server>(&loop, options, std::move(handle));
+        m_options.host = "127.0.0.1";
+        m_options.port = freePort(SOCK_STREAM);
+        m_options.maxBodyBytes = 100;
+        return std::make_unique<http_server>(&m_loop, m_options, std::move(handle));
     }
 
     http_call callTo(const std::string &body) const
     {
         http_call call;
         call.method = "POST";
-        call.url = "http://127.0.0.1:" + std::to_string(options.port) + "/path";
+        call.url = "http://127.0.0.1:" + std::to_string(m_options.port) + "/path";
         call.body = body;
         call.deadline = event_loop::steadyNow() + absl::Seconds(10);
         return call;
     }
 
-    event_loop loop;
-    http_server_options options;
+    event_loop m_loop;
+    http_server_options m_options;
 };
 
 // Guards against timers that fire out of order or after they were cancelled.
@@ -62,13 +62,13 @@
 {
     std::string fired;
     const absl::Time now = event_loop::steadyNow();
-    loop.callAt(now + absl::Milliseconds(20), [&] {
+    m_loop.callAt(now + absl::Milliseconds(20), [&] {
         fired += "b";
-        loop.stop();
+        m_loop.stop();
     });
-    loop.callAt(now + absl::Milliseconds(5), [&] { fired += "a"; });
-    loop.cancel(loop.callAt(now + absl::Milliseconds(10), [&] { fired += "x"; }));
-    loop.run();
+    m_loop.callAt(now + absl::Milliseconds(5), [&] { fired += "a"; });
+    m_loop.cancel(m_loop.callAt(now + absl::Milliseconds(10), [&] { fired += "x"; }));
+    m_loop.run();
     EXPECT_EQ(fired, "ab");
 }
 
@@ -76,19 +76,19 @@
 TEST_F(loop_test, answersThatComeLaterAreSent)
 {
     const auto server = serve([this](const http_request &request, const http_responder &respond) {
-        loop.callAt(event_loop::steadyNow() + absl::Milliseconds(10), [respond, request] {
+        m_loop.callAt(event_loop::steadyNow() + absl::Milliseconds(10), [respond, request] {
             http_response response;
             response.body = request.body + "!";
             respond(response);
         });
     });
-    http_client client(&loop);
+    http_client client(&m_loop);
     http_reply reply;
     client.send(callTo("hello"), [&](http_reply answer) {
         reply = std::move(answer);
-        loop.stop();
+        m_loop.stop();
     });
-    loop.run();
+    m_loop.run();
     EXPECT_EQ(reply.status, 200);
     EXPECT_EQ(reply.body, "hello!");
 }
@@ -101,13 +101,13 @@
         response.status = request.tooLarge && request.body.size() <= 100 ? 413 : 200;
         respond(response);
     });
-    http_client client(&loop);
+    http_client client(&m_loop);
     int status = 0;
     client.send(callTo(std::string(100'000, 'x')), [&](const http_reply &answer) {
         status = answer.status;
-        loop.stop();
+        m_loop.stop();
     });
-    loop.run();
+    m_loop.run();
     EXPECT_EQ(status, 413);
 }
 
@@ -115,7 +115,7 @@
 TEST_F(loop_test, tellsUnsentCallsFromUnansweredOnes)
 {
     auto server = serve([](const http_request &, const http_responder &) { /* never answers */ });
-    http_client client(&loop);
+    http_client client(&m_loop);
     http_call silent = callTo("x");
     silent.deadline = event_loop::steadyNow() + absl::Milliseconds(300);
     http_call refused = callTo("x");
@@ -125,9 +125,9 @@
     client.send(refused, [&](http_reply answer) { first = std::move(answer); });
     client.send(silent, [&](http_reply answer) {
         second = std::move(answer);
-        loop.stop();
+        m_loop.stop();
     });
-    loop.run();
+    m_loop.run();
     EXPECT_EQ(first.status, 0);
     EXPECT_TRUE(first.unsent);
     EXPECT_EQ(second.status, 0);
@@ -141,15 +141,15 @@
 {
     const std::uint16_t port = freePort(SOCK_DGRAM);
     std::string received;
-    const datagram_socket receiver(&loop, "127.0.0.1", port, [&](const std::string &content) {
+    const datagram_socket receiver(&m_loop, "127.0.0.1", port, [&](const std::string &content) {
         received = content;
-        loop.stop();
+        m_loop.stop();
     });
-    const datagram_socket sender(&loop, "127.0.0.1", freePort(SOCK_DGRAM),
+    const datagram_socket sender(&m_loop, "127.0.0.1", freePort(SOCK_DGRAM),
                                  [](const std::string &) {});
     EXPECT_TRUE(sender.send("127.0.0.1", port, "wake"));
     EXPECT_FALSE(sender.send("no address", port, "wake"));
-    loop.run();
+    m_loop.run();
     EXPECT_EQ(received, "wake");
 }
 
