End the daemon without static destructors at the platform

A restarted agent came back after its runner's lease. Ruled out: the drain of calls (the line "stopped" was written 50 ms after the signal). Change: quick_exit after the node has stopped.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -13,6 +13,7 @@
 #include <csignal>
 #include <curl/curl.h>
 
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -248,7 +249,9 @@
         blockSignals(&signals);
         sigaddset(&signals, SIGHUP);
         pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-        return platform::runAtPlatform(role, *path);
+        // Ends without static destructors: log4cplus joins its idle threads in one, which does not
+        // return on the platform's machines, so the process was killed after its grace period.
+        std::quick_exit(platform::runAtPlatform(role, *path));
     }
     std::vector<char *> arguments;
     bool checkOnly = false;
