Do not complete records twice whose deadline passed before their refusal

Ruled out: the follower's completions (none is cleared). Test: log_writer_test, which failed first. Change: withdrawn records are completed only once.

--- a/src/batch/log_writer.cpp
+++ b/src/batch/log_writer.cpp
@@ -75,7 +75,8 @@
         std::erase_if(m_sent, [&](queued &one) {
             if (one.deadline > now)
                 return false;
-            expired.push_back(std::move(one.done));
+            if (one.done) // else it was told that the outcome is unknown
+                expired.push_back(std::move(one.done));
             return true;
         });
     }
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -276,6 +276,29 @@
     EXPECT_EQ(m_site->history.starts, 3U);
 }
 
+// Guards against a second completion of records whose deadline passed while a refusal was on its
+// way (bad_function_call in scale-2 of kivu-bells).
+TEST(log_writer_test, refusalAfterTheDeadlineIsNotReportedTwice)
+{
+    virtual_clock clock(1);
+    fake_store store(&clock);
+    store_port port = store.portOf("writer", std::make_shared<bool>(true));
+    store.faults["writer"].refuse = true;
+    store.faults["writer"].answerDelay = absl::Milliseconds(300);
+    const loop_hooks hooks {[&] { return clock.now(); }, [&] { return clock.now(); },
+                            [&] { return clock.random(); }};
+    log_writer writer({"keyed.t", "p"}, &port, hooks);
+    std::vector<write_result> results;
+    writer.write({{"key", "value", 0}}, clock.now() + absl::Milliseconds(100),
+                 [&](write_result what, std::uint64_t) { results.push_back(what); });
+    for (int i = 0; i < 100; ++i) {
+        writer.tick();
+        clock.runFor(absl::Milliseconds(10));
+    }
+    EXPECT_EQ(results, std::vector<write_result> {write_result::Unknown});
+    EXPECT_TRUE(writer.isIdle());
+}
+
 // Guards against a submission that is accepted and can never be carried out.
 TEST(batch_check_test, refusesStepsThatDependOnThemselves)
 {
