Copy nothing from an empty archive

Ruled out: the records (they decode to the same values). Change: no copy of zero bytes. Before: 2 of 18 tests red under the sanitizers. After: batch_test, loop_test, adapter_test and platform_process pass under them.

--- a/include/hyssoppond/base/bounded_archive_base.h
+++ b/include/hyssoppond/base/bounded_archive_base.h
@@ -37,7 +37,9 @@
     {
         if (size > m_rest.size())
             throw cereal::Exception("input is truncated");
-        std::memcpy(target, m_rest.data(), size);
+        // An empty container may have no storage, and memcpy takes no null pointer.
+        if (size != 0)
+            std::memcpy(target, m_rest.data(), size);
         m_rest.remove_prefix(size);
     }
 
