Name the queue's path and the lease's end in the project's words

Cause: two fields outside platform/ had names of the platform's wire. Renames only; batch_test, adapter_test, fakes_test and platform_process pass.

--- a/include/hyssoppond/batch/batch_type.h
+++ b/include/hyssoppond/batch/batch_type.h
@@ -157,7 +157,7 @@
 {
     std::string name;
     std::string host;
-    std::string pathPrefix;
+    std::string pathStart;
     std::string service; ///< whose workers run its items
     int priority = 0;    ///< 0 comes first and may preempt others
     std::uint32_t maxAttempts = 1;
--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -79,7 +79,7 @@
     batch::order_answer stopNow(const batch::stop_order &order);
     batch::look_answer lookNow(const batch::look_order &order, std::int64_t shiftMs);
     bool acceptsToken(std::uint64_t token);
-    void extend(std::int64_t untilMs);
+    void extend(std::int64_t leaseEndMs);
     void checkLease();
     void end(const batch::item_run &id, batch::run_end how);
     void scheduleDone(const batch::item_run &id);
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -226,14 +226,14 @@
 {
     routed_call target;
     for (const queue_policy &queue : m_config->queues) {
-        if (queue.host != call.host || !absl::StartsWith(call.path, queue.pathPrefix))
+        if (queue.host != call.host || !absl::StartsWith(call.path, queue.pathStart))
             continue;
-        if (target.queue == nullptr || queue.pathPrefix.size() > target.queue->pathPrefix.size())
+        if (target.queue == nullptr || queue.pathStart.size() > target.queue->pathStart.size())
             target.queue = &queue;
     }
     if (target.queue == nullptr)
         return fail(reason::UnknownEndpoint, "no such queue; check the host and the path");
-    target.id = call.path.substr(target.queue->pathPrefix.size());
+    target.id = call.path.substr(target.queue->pathStart.size());
     if (target.queue->isPublic)
         return target;
     for (const batch_team &team : m_config->teams) {
--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -105,9 +105,9 @@
     return true;
 }
 
-void fake_item_worker::extend(std::int64_t untilMs)
+void fake_item_worker::extend(std::int64_t leaseEndMs)
 {
-    m_leaseUntilMs = std::max(m_leaseUntilMs, std::min(untilMs, clockMs() + longestLeaseMs));
+    m_leaseUntilMs = std::max(m_leaseUntilMs, std::min(leaseEndMs, clockMs() + longestLeaseMs));
     const double leftMs = static_cast<double>(m_leaseUntilMs - clockMs()) / clockRate;
     m_clock->after(absl::Milliseconds(std::max(0.0, leftMs) + 1), [this, life = m_life] {
         if (life == m_life)
@@ -155,17 +155,17 @@
     if (!acceptsToken(order.fencingToken))
         return {order_outcome::StaleToken, clockMs()};
     const std::string item = nameOf(order.run);
-    const std::int64_t untilMs = order.leaseUntilMs + shiftMs;
+    const std::int64_t leaseEndMs = order.leaseUntilMs + shiftMs;
     if (m_runs.contains(order.run)) {
-        extend(untilMs);
+        extend(leaseEndMs);
         return {order_outcome::Done, clockMs()};
     }
     const auto over = m_highestOver.find(item);
     if (over != m_highestOver.end() && order.run.run <= over->second)
         return {order_outcome::OldRun, clockMs()};
-    if (untilMs <= clockMs())
+    if (leaseEndMs <= clockMs())
         return {order_outcome::LeaseOver, clockMs()};
-    extend(untilMs);
+    extend(leaseEndMs);
     m_runs[order.run] = {item, order.run.run, m_clock->now()};
     m_history->started(item, m_description.worker);
     scheduleDone(order.run);
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -43,7 +43,7 @@
         queue_policy queue;
         queue.name = name;
         queue.host = "host";
-        queue.pathPrefix = "/" + name + "/";
+        queue.pathStart = "/" + name + "/";
         queue.service = "service";
         queue.priority = priority;
         queue.maxAttempts = 3;
