Judge a shape with the workers that are absent for a short time

Cause: scheduler::submit refused a shape as impossible when a worker of the only position that holds it was removed at that moment, as after the kill of an agent (process cells entry-killed-job and log-down-urgent).

Change: the fleet keeps an index of known accelerators; a removed worker counts there for ten more minutes. explain() says that the job waits for absent workers.

Ruled out: judging in the callers, which would need the same rule twice.

Before: the new policy_test fails at the submission.

--- a/include/hyssoppond/policy/fleet_base.h
+++ b/include/hyssoppond/policy/fleet_base.h
@@ -51,6 +51,8 @@
     void refresh(worker_index index);
     /// Writes the worker's accelerators to the index of what shapes are possible at all.
     void refreshTotal(worker_index index);
+    /// Ends the time in which an absent worker still counts as possible.
+    void forget(worker_index index) { m_known.set(index, 0); }
     /// Accelerators that the worker's condition lets guarantees count on.
     std::uint32_t guaranteeCapacity(worker_index index) const;
 
@@ -61,6 +63,8 @@
 
     const capacity_index &free() const { return m_free; }
     const capacity_index &total() const { return m_total; }
+    /// All accelerators, also of workers that have been absent for a short time.
+    const capacity_index &known() const { return m_known; }
     bool hasZone(const zone_id &zone) const { return m_zones.contains(zone.str()); }
     /// Number for capacity_index; one that matches no worker while the zone has none.
     std::uint32_t zoneNumber(const zone_id &zone) const;
@@ -73,6 +77,7 @@
     absl::flat_hash_map<std::string, std::uint32_t> m_zones;
     capacity_index m_free;
     capacity_index m_total;
+    capacity_index m_known;
     std::uint32_t m_accelerators = 0;
 };
 
--- a/include/hyssoppond/policy/scheduler_base.h
+++ b/include/hyssoppond/policy/scheduler_base.h
@@ -96,7 +96,8 @@
     result<void> startRefused(const job_id &job, const worker_id &id, absl::Time time);
 
     /// Proposals for the state at `now`. Has no effect on jobs, workers and contracts; it only
-    /// advances what depends on time: the end of guards and the holds for starved gangs.
+    /// advances what depends on time: the end of guards and absences and the holds for starved
+    /// gangs.
     std::vector<decision> decide(absl::Time now);
 
     /// Why the job waits or where it runs; UnknownJob.
@@ -111,6 +112,11 @@
     std::uint64_t steps() const;
 
 private:
+    struct absent_worker
+    {
+        worker_index worker = 0;
+        absl::Time countsUntil = absl::InfiniteFuture(); ///< set by the next decision
+    };
     struct starved_hold
     {
         job_entry *job = nullptr;
@@ -141,6 +147,7 @@
 
     // Decisions, scheduler_decide.cpp and scheduler_hold.cpp.
     void endGuards(absl::Time now);
+    void endAbsences(absl::Time now);
     void decideUrgent(absl::Time now, std::vector<decision> &out);
     std::vector<job_entry *> coveredUrgent(const job_queue::lanes_by_shape &lanes) const;
     bool decideUnderContract(job_entry &job, absl::Time now, std::vector<decision> &out);
@@ -172,6 +179,7 @@
     std::vector<starved_hold> m_holds;
     std::vector<job_entry *> m_claiming; // queued jobs whose accelerators are being reclaimed
     std::vector<worker_index> m_guarded;
+    std::vector<absent_worker> m_absent; ///< removed, but shapes are still judged with them
     absl::flat_hash_map<std::pair<team_id, caller_id>, double> m_callerTags;
     std::vector<std::function<void()>> m_undo; // of the proposals of the running `decide`
     std::uint64_t m_nextSequence = 0;
--- a/src/entry/cluster_follow.cpp
+++ b/src/entry/cluster_follow.cpp
@@ -184,8 +184,12 @@
     for (const auto &[key, entry] : m_state.config())
         m_hooks.onConfigAccepted({key, entry.value, entry.version, entry.changedAt}, false);
     for (const auto &[agent, entry] : m_state.endpoints()) {
-        if (!entry.gone && !entry.announced.servedWorker.id.isEmpty())
-            expect(m_scheduler->addWorker(entry.announced.servedWorker));
+        if (entry.announced.servedWorker.id.isEmpty())
+            continue;
+        expect(m_scheduler->addWorker(entry.announced.servedWorker));
+        // A worker that is gone may be back soon; until then shapes are still judged with it.
+        if (entry.gone)
+            expect(m_scheduler->removeWorker(entry.announced.servedWorker.id));
     }
     applyDrains();
     for (const auto &[id, job] : m_state.jobs())
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -34,6 +34,7 @@
     if (const auto known = find(machine.id)) {
         m_workers[*known].present = true;
         m_workers[*known].machine.agent = machine.agent;
+        m_known.set(*known, machine.accelerators);
         return *known;
     }
     const auto index = static_cast<worker_index>(m_workers.size());
@@ -47,6 +48,8 @@
               .first->second;
     m_free.add(rack, zone);
     m_total.add(rack, zone);
+    m_known.add(rack, zone);
+    m_known.set(index, machine.accelerators);
     fleet_worker &added = m_workers.emplace_back();
     added.machine = machine;
     added.free = static_cast<accelerator_mask>((1U << machine.accelerators) - 1);
--- a/src/policy/scheduler_cmd.cpp
+++ b/src/policy/scheduler_cmd.cpp
@@ -41,6 +41,7 @@
     const bool fresh = !m_fleet.find(machine.id);
     const bool zoneKnown = m_fleet.hasZone(machine.zone);
     const worker_index index = m_fleet.add(machine);
+    std::erase_if(m_absent, [index](const absent_worker &one) { return one.worker == index; });
     if (!zoneKnown)
         m_book.setZone(machine.zone, m_fleet.zoneNumber(machine.zone));
     if (fresh) {
@@ -63,6 +64,7 @@
         return {};
     m_fleet.at(*index).present = false;
     m_fleet.refreshTotal(*index);
+    m_absent.push_back({*index});
     changeCondition(*index, worker_condition::Usable);
     return {};
 }
@@ -190,7 +192,7 @@
                                     spec.team.str()));
     const shape &wanted = spec.wanted;
     if (wanted.members == 0 || wanted.members > MaxGangMembers || wanted.acceleratorsPerMember == 0
-        || !m_fleet.total().fits(wanted))
+        || !m_fleet.known().fits(wanted))
         return fail(reason::ImpossibleShape,
                     absl::StrFormat("no %s of the fleet has %d x %d accelerators; ask for fewer, "
                                     "or for a wider adjacency",
--- a/src/policy/scheduler_decide.cpp
+++ b/src/policy/scheduler_decide.cpp
@@ -12,12 +12,17 @@
 /// Urgent jobs of one team and shape that a decision looks at; more wait for the next one.
 constexpr std::size_t UrgentPerLane = 16;
 
+/// A removed worker is expected back within this time; an ordinary restart of an endpoint takes
+/// some minutes at most.
+constexpr absl::Duration AbsenceLimit = absl::Minutes(10);
+
 } // namespace
 
 std::vector<decision> scheduler::decide(absl::Time now)
 {
     std::vector<decision> out;
     endGuards(now);
+    endAbsences(now);
     updateHolds(now);
     decideUrgent(now, out);
     decideHeld(now, out);
@@ -41,6 +46,17 @@
     }
 }
 
+void scheduler::endAbsences(absl::Time now)
+{
+    std::erase_if(m_absent, [this, now](absent_worker &one) {
+        one.countsUntil = std::min(one.countsUntil, now + AbsenceLimit);
+        if (one.countsUntil > now)
+            return false;
+        m_fleet.forget(one.worker);
+        return true;
+    });
+}
+
 void scheduler::proposePlace(job_entry &job, const gang_location &at, const contract_id &under,
                              decision_cause cause, std::vector<decision> &out)
 {
--- a/src/policy/scheduler_hold.cpp
+++ b/src/policy/scheduler_hold.cpp
@@ -173,9 +173,12 @@
     }
     if (!job->isQueued())
         return out;
-    if (!m_fleet.total().fits(wanted)) {
+    if (!m_fleet.known().fits(wanted)) {
         out.why = reason::ImpossibleShape;
         out.text += "; no position of the fleet is large enough; cancel it or add workers";
+    } else if (!m_fleet.total().fits(wanted)) {
+        out.why = reason::WorkerUnreachable;
+        out.text += "; workers that it needs are absent; it starts when they return";
     } else if (!job->claim.empty()) {
         out.why = reason::AcceleratorBusy;
         out.text += "; borrowed work is being stopped for its guarantee";
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -115,6 +115,26 @@
     EXPECT_EQ(reasonOf(policy.submit(job("3", {1, 1}, urgency::Normal, "b"))), reason::QueueFull);
 }
 
+// Guards against refusing a shape for ever because a worker restarts at that moment (process cells
+// entry-killed-job and log-down-urgent), and against waiting for a worker that is gone for good.
+TEST(Submission, CountsWorkersThatAreAbsentForAShortTime)
+{
+    site here(2);
+    auto &policy = here.policy;
+    EXPECT_TRUE(policy.removeWorker(machine(1).id));
+    EXPECT_TRUE(policy.submit(job("1", {2, 8, adjacency::Rack})));
+    EXPECT_EQ(here.settle(Start).size(), 0);
+    EXPECT_EQ(here.stateOf("1"), job_state::Queued);
+    EXPECT_EQ(policy.explain(job_id("1"))->why, reason::WorkerUnreachable);
+    EXPECT_TRUE(policy.addWorker(machine(1)));
+    here.settle(Start);
+    EXPECT_EQ(here.stateOf("1"), job_state::Running);
+    EXPECT_TRUE(policy.removeWorker(machine(1).id));
+    policy.decide(Start);
+    policy.decide(Start + absl::Hours(1));
+    EXPECT_EQ(reasonOf(policy.submit(job("2", {2, 8, adjacency::Rack}))), reason::ImpossibleShape);
+}
+
 // Guards against proposals that change the state before they are accepted.
 TEST(Decide, HasNoEffectByItself)
 {
