Reach the store through a peer, and learn run times

Beats are stamped, each with an epoch of its own.

The expected time of an item comes from a regression over the finished runs of its queue; workers' speeds are what it leaves over.

Ruled out: relaying unstamped appends (kept twice); TCP between processes (a connection to each peer, kept for outages only).

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -17,8 +17,8 @@
 {
     process_id agent;
     incarnation_number incarnation = 0;
-    std::string journalTopic = "keyed.journal";
-    std::string beatTopic = "beats";
+    std::string journalTopic = JournalTopic;
+    std::string beatTopic = BeatTopic;
     std::string wakeAddress;             ///< HOST:PORT at which onWake is called; empty: none
     std::int64_t longestLeaseMs = 6'000; ///< of the worker
     absl::Duration gangTimeout = absl::Seconds(3); ///< a member waits so long for the others
@@ -51,6 +51,8 @@
         onDecision;
 
     std::size_t runs() const { return m_runs.size(); }
+    /// Addresses at which entries take messages.
+    std::vector<std::string> entryAddresses() const;
 
 private:
     enum class phase : std::uint8_t {
@@ -64,9 +66,10 @@
     {
         std::string payload;
         std::string checkpoint;
-        absl::Time receivedAt; ///< when the order was read
-        bool stale = false;    ///< the order may be much older than `receivedAt`
-        unix_ms bornMs = 0;    ///< life of the worker that the order is for
+        absl::Time receivedAt;                         ///< when the order was read
+        absl::Time startedAt = absl::InfiniteFuture(); ///< when the worker said that it runs
+        bool stale = false; ///< the order may be much older than `receivedAt`
+        unix_ms bornMs = 0; ///< life of the worker that the order is for
         bool gang = false;
         bool unwanted = false; ///< to be stopped
         bool stopSent = false;
@@ -131,11 +134,13 @@
     std::uint64_t m_tokenStep = 0;
     bool m_evicted = false;
     absl::Time m_beatAt = absl::InfinitePast();
+    std::uint64_t m_beats = 0;
 
     std::map<item_run, local_run> m_runs;
     std::set<item_run> m_ended;  ///< with a record in the journal
     std::set<item_run> m_voided; ///< ordered for an earlier life of the worker
     std::set<job_id> m_overJobs;
+    std::map<process_id, std::string> m_entryAddresses;
     std::set<std::pair<unit_id, std::uint32_t>> m_stoppingRuns;
 
     bool m_synced = false; ///< the worker runs nothing that is not known, in its present life
--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -14,8 +14,8 @@
 struct decider_options
 {
     process_id entry;
-    std::string journalTopic = "keyed.journal";
-    std::string beatTopic = "beats";
+    std::string journalTopic = JournalTopic;
+    std::string beatTopic = BeatTopic;
     std::string group = "decider";
     std::string producer = "decider";
     scheduler_options scheduler;
@@ -37,7 +37,11 @@
     /// An eviction or the end of one was read from the journal, also while another entry decides.
     void onEviction(const agent_evicted &record);
     /// The journal is about to be read from its newest records again.
-    void onReloading() { m_evictedBy.clear(); }
+    void onReloading()
+    {
+        m_evictedBy.clear();
+        m_scheduler.forgetRunTimes();
+    }
     /// The journal was read from its newest records again.
     void onReloaded() { m_planDue = true; }
     /// Records were applied to the state.
--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -14,7 +14,7 @@
     process_id entry;
     incarnation_number incarnation = 0;
     std::string wakeAddress; ///< HOST:PORT at which onWake is called; empty: none
-    std::string journalTopic = "keyed.journal";
+    std::string journalTopic = JournalTopic;
     std::string configTopic;
     absl::Duration keysValidFor = absl::Seconds(5); ///< without a proof that they are in force
     scheduler_options scheduler;
@@ -93,6 +93,8 @@
 
     const batch_state &state() const { return m_state; }
     const site_config *config() const { return m_config ? &*m_config : nullptr; }
+    /// Addresses at which the other entries take messages.
+    std::vector<std::string> peerAddresses() const;
     bool isDeciding() const { return m_decider.isDeciding(); }
 
 private:
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -16,6 +16,10 @@
 
 namespace hyssoppond::batch {
 
+/// Topic of the journal, and of the agents' beats.
+inline constexpr const char *JournalTopic = "keyed.journal";
+inline constexpr const char *BeatTopic = "beats";
+
 /// An entry accepted a job. Repetitions of the same id have no effect.
 struct job_submitted
 {
@@ -193,21 +197,6 @@
     }
 };
 
-/// Says that the journal has records which the addressee waits for; it then reads at once.
-struct wake_message
-{
-    std::uint64_t end = 0; ///< offset after those records
-    template<class archive>
-    void serialize(archive &ar)
-    {
-        ar(end);
-    }
-};
-
-std::string encodeWake(const wake_message &message);
-/// Errors: those of unseal.
-result<wake_message> decodeWake(std::string_view bytes);
-
 std::string encodeBeat(const agent_beat &beat);
 /// Errors: those of unseal.
 result<agent_beat> decodeBeat(std::string_view bytes);
--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "hyssoppond/batch/batch_state_base.h"
+#include "hyssoppond/batch/item_time_model_base.h"
 
 #include <absl/time/time.h>
 
@@ -68,6 +69,10 @@
         : m_options(options)
     { }
 
+    /// Learns from the run time of an item that has ended.
+    void learn(const ended_member &ended, const batch_state &state);
+    /// The journal is about to be read from its newest records again.
+    void forgetRunTimes() { m_times = {}; }
     /// Notes how runs end on a worker.
     void observe(const ended_member &ended, const batch_state &state, absl::Time now);
     /// Decisions that are due, in the order in which they are to be recorded.
@@ -86,11 +91,12 @@
 
     scheduler_options m_options;
     std::map<process_id, guard_entry> m_guards;
+    item_time_model m_times;
     /// Workers that are being cleared for an urgent unit, one for each member.
     std::map<unit_id, std::vector<process_id>> m_claims;
 };
 
-/// Longest chain of estimates over the steps from `from` on, in ms.
-std::int64_t chainMs(const batch_job &job, std::uint32_t from);
+/// Longest chain of expected times over the steps from `from` on, in ms.
+std::int64_t chainMs(const batch_job &job, std::uint32_t from, const item_time_model &times);
 
 } // namespace hyssoppond::batch
--- a/include/hyssoppond/batch/batch_state_base.h
+++ b/include/hyssoppond/batch/batch_state_base.h
@@ -72,9 +72,10 @@
 struct ended_member
 {
     unit_id unit;
+    std::uint32_t run = 0;
     run_member member;
     run_end how = run_end::Lost;
-    unix_ms orderedMs = 0;
+    std::int64_t ranMs = 0; ///< as in run_ended
 };
 
 /// Reduction of the journal. Records are applied in the order of their offsets.
@@ -118,7 +119,7 @@
 
     unit_state *unitOf(const unit_id &unit);
     void endMember(const unit_id &unit, unit_state *state, member_state *member, run_end how,
-                   const std::string &checkpoint);
+                   const std::string &checkpoint, std::int64_t ranMs = 0);
     void closeRun(const unit_id &unit, unit_state *state);
 
     std::map<job_id, job_state> m_jobs;
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -199,6 +199,9 @@
     append_request request;
     request.topic = m_options.beatTopic;
     request.records.push_back({"", encodeBeat(content), 0});
+    // Each beat has an epoch of its own, so that a lost one does not hold up the next.
+    request.producer = producer_stamp {
+        absl::StrCat(m_options.agent.str(), "/", m_options.incarnation, "/beat"), ++m_beats, 1};
     request.deadline = m_hooks.now() + StoreAnswer;
     // A lost beat is replaced by the next one.
     m_store->append(std::move(request), [](const append_answer &) {});
@@ -257,6 +260,9 @@
     } else if (const auto *ended = std::get_if<run_ended>(&*decoded)) {
         if (ended->agent == m_options.agent)
             endLocally({ended->unit, ended->member, ended->run});
+    } else if (const auto *started = std::get_if<process_started>(&*decoded)) {
+        if (started->isEntry && !started->wakeAddress.empty())
+            m_entryAddresses[started->process] = started->wakeAddress;
     } else if (const auto *cancelled = std::get_if<job_cancelled>(&*decoded)) {
         markUnwanted(cancelled->job);
     } else if (const auto *failed = std::get_if<job_failed>(&*decoded)) {
@@ -310,6 +316,14 @@
         run.unwanted = run.unwanted || id.unit.job == job;
 }
 
+std::vector<std::string> batch_agent::entryAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (const auto &[name, address] : m_entryAddresses)
+        addresses.push_back(address);
+    return addresses;
+}
+
 void batch_agent::prepareStop()
 {
     if (m_synced && !m_runs.empty())
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -79,7 +79,11 @@
 
 run_ended batch_agent::endOf(const item_run &id, run_end how, const std::string &checkpoint) const
 {
-    return {id.unit, id.run, id.member, m_options.agent, how, checkpoint, false};
+    run_ended ended {id.unit, id.run, id.member, m_options.agent, how, checkpoint, false};
+    const auto run = m_runs.find(id);
+    if (run != m_runs.end() && run->second.startedAt < m_hooks.now())
+        ended.ranMs = absl::ToInt64Milliseconds(m_hooks.now() - run->second.startedAt);
+    return ended;
 }
 
 void batch_agent::report(std::vector<run_ended> ends, std::uint64_t acknowledge)
@@ -176,6 +180,7 @@
     switch (answer.outcome) {
     case order_outcome::Done:
         run.state = phase::Running;
+        run.startedAt = m_hooks.now();
         run.progressAt = m_hooks.now();
         m_lookAt = m_hooks.now();
         break;
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -1,6 +1,7 @@
 /// @file Implementation of the decider: grant, beats, evictions and recorded plans.
 #include "hyssoppond/batch/batch_decider_base.h"
 #include "hyssoppond/batch/lease_rule_func.h"
+#include "hyssoppond/batch/peer_message_type.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -62,6 +63,7 @@
 
 void batch_decider::onMemberEnded(const ended_member &ended)
 {
+    m_scheduler.learn(ended, *m_state);
     if (m_phase == phase::Deciding)
         m_scheduler.observe(ended, *m_state, m_hooks.now());
 }
@@ -362,7 +364,7 @@
 {
     const auto found = m_state->processes().find(process);
     if (sendWake && found != m_state->processes().end() && !found->second.wakeAddress.empty())
-        sendWake(found->second.wakeAddress, encodeWake({m_recordedTo}));
+        sendWake(found->second.wakeAddress, encodePeerMessage(wake_message {m_recordedTo}));
 }
 
 void batch_decider::wakeEntries()
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -81,7 +81,7 @@
     , m_writer(
           {m_options.journalTopic, absl::StrCat(m_options.entry.str(), "/", m_options.incarnation)},
           store, m_hooks)
-    , m_decider({m_options.entry, m_options.journalTopic, "beats", "decider", "decider",
+    , m_decider({m_options.entry, m_options.journalTopic, BeatTopic, "decider", "decider",
                  m_options.scheduler},
                 store, m_hooks, &m_state, &m_journal)
 {
@@ -174,6 +174,16 @@
                      m_writer.nextDeadline(), m_decider.nextDeadline()});
 }
 
+std::vector<std::string> batch_entry::peerAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (const auto &[name, process] : m_state.processes()) {
+        if (process.isEntry && name != m_options.entry && !process.wakeAddress.empty())
+            addresses.push_back(process.wakeAddress);
+    }
+    return addresses;
+}
+
 void batch_entry::leave()
 {
     m_leaving = true;
--- a/src/batch/batch_record.cpp
+++ b/src/batch/batch_record.cpp
@@ -76,16 +76,6 @@
     return unseal<batch_record>(BatchRecordVersion, bytes, MaxRecordBytes);
 }
 
-std::string encodeWake(const wake_message &message)
-{
-    return seal(BatchRecordVersion, message);
-}
-
-result<wake_message> decodeWake(std::string_view bytes)
-{
-    return unseal<wake_message>(BatchRecordVersion, bytes, MaxRecordBytes);
-}
-
 std::string encodeBeat(const agent_beat &beat)
 {
     return seal(BatchRecordVersion, beat);
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-std::int64_t chainMs(const batch_job &job, std::uint32_t from)
+std::int64_t chainMs(const batch_job &job, std::uint32_t from, const item_time_model &times)
 {
     std::vector<std::int64_t> ends(job.steps.size(), 0);
     std::int64_t longest = 0;
@@ -28,12 +28,35 @@
         std::int64_t start = 0;
         for (const std::uint32_t earlier : job.steps[i].dependsOn)
             start = std::max(start, ends[earlier]);
-        ends[i] = start + job.steps[i].estimateMs;
+        ends[i] = start + times.expectedMs(job.queue, job.steps[i].estimateMs);
         longest = std::max(longest, ends[i]);
     }
     return longest;
 }
 
+void batch_scheduler::learn(const ended_member &ended, const batch_state &state)
+{
+    // Repeated runs may go on from a checkpoint, and the members of a gang end together.
+    const bool counts = ended.how == run_end::Done && ended.ranMs > 0 && ended.run == 1
+        && ended.member.index == ended.unit.index;
+    const job_state *job = state.find(ended.unit.job);
+    if (!counts || job == nullptr)
+        return;
+    const batch_step &step = job->job.steps[ended.unit.step];
+    const auto rackOf = [&state](const process_id &agent) {
+        const auto known = state.agents().find(agent);
+        return known == state.agents().end() ? std::string() : known->second.worker.rack;
+    };
+    const std::string rack = rackOf(ended.member.agent);
+    const auto &members = state.findUnit(ended.unit)->active->members;
+    const bool apart = step.sameRack
+        && std::any_of(members.begin(), members.end(),
+                       [&](const member_state &one) { return rackOf(one.member.agent) != rack; });
+    if (apart || (!step.dataRack.empty() && step.dataRack != rack))
+        return; // slower by the remote factor
+    m_times.learn(job->job.queue, step.estimateMs, ended.ranMs, ended.member.agent);
+}
+
 void batch_scheduler::observe(const ended_member &ended, const batch_state &state, absl::Time now)
 {
     guard_entry &guard = m_guards[ended.member.agent];
@@ -62,7 +85,7 @@
 
 std::vector<plan_decision> batch_scheduler::plan(const plan_input &input)
 {
-    plan_maker maker {input, m_options};
+    plan_maker maker {input, m_options, m_times};
     maker.measureRooms(*this);
     maker.failHopeless();
     maker.stopBroken();
@@ -169,7 +192,8 @@
                 if (agent == input.state->agents().end() || !agent->second.worker.draining)
                     continue;
                 // Work that cannot end before its worker leaves is moved while little is lost.
-                const unix_ms endsMs = run.orderedMs + job.job.steps[unit.step].estimateMs;
+                const unix_ms endsMs = run.orderedMs
+                    + times.expectedMs(job.job.queue, job.job.steps[unit.step].estimateMs);
                 const unix_ms leavesMs = agent->second.worker.leavesAtMs;
                 doomed = doomed || (leavesMs != 0 && endsMs > leavesMs);
             }
@@ -198,8 +222,8 @@
                 [&](std::uint32_t earlier) { return occurrence.steps[earlier].left == 0; });
             if (occurrence.steps[s].left == 0 || !ready)
                 continue;
-            const double work = static_cast<double>(chainMs(job.job, 0));
-            const std::int64_t rest = chainMs(job.job, s);
+            const double work = static_cast<double>(chainMs(job.job, 0, times));
+            const std::int64_t rest = chainMs(job.job, s, times);
             const auto objective
                 = static_cast<std::int64_t>(queue->stretch * work) + queue->latencyGoalMs;
             waiting_unit unit;
@@ -207,7 +231,7 @@
             unit.step = &step;
             unit.queue = queue;
             unit.members = step.gang ? step.count : 1;
-            unit.expectedMs = step.estimateMs;
+            unit.expectedMs = times.expectedMs(queue->name, step.estimateMs);
             unit.guaranteed = queue->priority == 0 && isGuaranteed(unit);
             unit.latestStartMs = dueMs + objective - rest;
             if (unit.latestStartMs < input.nowMs) {
--- a/src/batch/batch_state.cpp
+++ b/src/batch/batch_state.cpp
@@ -166,7 +166,7 @@
         return;
     for (member_state &member : unit->active->members) {
         if (member.member.index == r.member && !member.end) {
-            endMember(r.unit, unit, &member, r.how, r.checkpoint);
+            endMember(r.unit, unit, &member, r.how, r.checkpoint, r.ranMs);
             return;
         }
     }
@@ -206,7 +206,7 @@
 }
 
 void batch_state::endMember(const unit_id &unit, unit_state *state, member_state *member,
-                            run_end how, const std::string &checkpoint)
+                            run_end how, const std::string &checkpoint, std::int64_t ranMs)
 {
     member->end = how;
     if (!checkpoint.empty())
@@ -214,7 +214,7 @@
     if (how == run_end::Failed)
         state->failedOn.insert(member->member.agent);
     if (onMemberEnded)
-        onMemberEnded({unit, member->member, how, state->active->orderedMs});
+        onMemberEnded({unit, state->active->run, member->member, how, ranMs});
     const auto &members = state->active->members;
     const bool running = std::any_of(members.begin(), members.end(),
                                      [](const member_state &one) { return !one.end; });
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -14,6 +14,7 @@
 {
     const plan_input &input;
     const scheduler_options &options;
+    const item_time_model &times;
     std::vector<worker_room> rooms = {};
     std::vector<plan_decision> decisions = {};
     std::set<unit_id> stopped = {}; ///< runs stopped by this plan
--- a/src/loop/datagram_socket.cpp
+++ b/src/loop/datagram_socket.cpp
@@ -15,8 +15,8 @@
 
 namespace {
 
-/// Larger datagrams are cut; ours have some tens of bytes.
-constexpr std::size_t MaxDatagramBytes = 1'400;
+/// Larger datagrams are cut; ours have 16 KB at most.
+constexpr std::size_t MaxDatagramBytes = 16'384;
 
 std::optional<sockaddr_in> socketAddress(const std::string &host, std::uint16_t port)
 {
--- a/tests/batch_plan_test.cpp
+++ b/tests/batch_plan_test.cpp
@@ -1,6 +1,8 @@
 /// @file Tests of the batch scheduler's plans. Each names the load that it answers.
 #include "plan_site_base.h"
 
+#include "hyssoppond/base/sealed_archive_func.h"
+
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
@@ -118,5 +120,77 @@
     EXPECT_THAT(site.plan().ordered, Contains("gang"));
 }
 
+// Load: jobs whose declared times say nothing. Guards against an order that follows them: a job
+// that is declared long would be late before it starts, and one declared short would wait.
+TEST(batch_plan, declaredTimesAreCorrectedByTheRunsOfTheQueue)
+{
+    plan_site site(1);
+    const std::vector<std::uint32_t> declared {300, 8'000, 900, 15'000, 2'500, 600, 5'000, 1'200};
+    for (std::size_t i = 0; i < declared.size(); ++i) {
+        const std::string id = absl::StrCat("earlier-", i);
+        site.submit(id, "urgent", "a", plan_site::stepOf(1, 8, false, declared[i]));
+        site.run(id, {0});
+        site.pass(2'500);
+        site.end(id, run_end::Done, 2'400 + 25 * static_cast<std::int64_t>(i));
+    }
+    const auto declaredAs = [&](const char *id, std::uint32_t ms) {
+        site.submit(id, "urgent", "b", plan_site::stepOf(1, 8, false, ms));
+        site.pass(500);
+    };
+    // By the declared times, the first has all the time and the second almost none.
+    declaredAs("first", 20'000);
+    declaredAs("second", 100);
+    site.pass(-400);
+    EXPECT_THAT(site.plan().ordered, ElementsAre("first"));
+}
+
+// Guards against a correction that forgets exact declared times, or that takes a slow worker for a
+// slow job.
+TEST(item_time_model, followsExactTimesAndSeesSlowWorkers)
+{
+    item_time_model exact;
+    const process_id slow("slow");
+    const process_id sound("sound");
+    for (int i = 0; i < 40; ++i) {
+        const std::int64_t declared = 500 + 200 * (i % 20);
+        exact.learn("queue", declared, i % 2 == 0 ? declared : declared * 13 / 10,
+                    i % 2 == 0 ? sound : slow);
+    }
+    EXPECT_NEAR(static_cast<double>(exact.expectedMs("queue", 2'000)), 2'000 * 1.14, 200);
+    EXPECT_NEAR(exact.slownessOf(slow) / exact.slownessOf(sound), 1.3, 0.08);
+    EXPECT_EQ(exact.expectedMs("other", 700), 700);
+}
+
+// Guards against losing the ends that an earlier version recorded.
+TEST(batch_record, endsWithoutARunTimeAreRead)
+{
+    run_ended ended;
+    ended.unit = {job_id("job"), 1, 2, 3};
+    ended.checkpoint = "saved";
+    ended.ranMs = 77;
+    const auto decoded = decodeRecord(encodeRecord(ended));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(std::get<run_ended>(*decoded).ranMs, 77);
+    // The former format of the same record: all fields but the last.
+    struct former_run_ended
+    {
+        run_ended now;
+        void serialize(cereal::PortableBinaryOutputArchive &ar)
+        {
+            ar(now.unit, now.run, now.member, now.agent, now.how, now.checkpoint, now.byDecider);
+        }
+    };
+    static constexpr std::int32_t EndAlternative = 5;
+    struct former_record
+    {
+        former_run_ended ended;
+        void serialize(cereal::PortableBinaryOutputArchive &ar) { ar(EndAlternative, ended); }
+    };
+    const auto former = decodeRecord(seal(1, former_record {{ended}}));
+    ASSERT_TRUE(former) << former.error().message;
+    EXPECT_EQ(std::get<run_ended>(*former).checkpoint, "saved");
+    EXPECT_EQ(std::get<run_ended>(*former).ranMs, 0);
+}
+
 } // namespace
 } // namespace hyssoppond::batch
--- a/tests/plan_site_base.h
+++ b/tests/plan_site_base.h
@@ -28,6 +28,8 @@
         m_config.teams.push_back({team_id("b"), {"key-b"}, 0});
         for (std::size_t i = 0; i < workers; ++i)
             announce(i);
+        m_state.onMemberEnded
+            = [this](const ended_member &ended) { m_scheduler.learn(ended, m_state); };
     }
 
     static process_id agentOf(std::size_t number)
