Stop dear work only when a guarantee is due, and no run in vain

Change: a loss above 150 + 1.2 times the core-seconds of the urgent unit is accepted only when its guarantee is due (the platform's reclaimMs less stopMs less 0.7 s after the acceptance). Victims that make no difference are left running.

Tests: dearWorkIsStoppedOnlyWhenTheGuaranteeIsDue and stopsNoRunThatMakesNoDifference.

--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -15,8 +15,10 @@
 struct scheduler_options
 {
     double remoteFactor = 3.0; ///< slowdown across racks or far from the data; of the platform
-    absl::Duration failureGuard = absl::Seconds(4); ///< a worker rests after a failed item
-    absl::Duration refusalGuard = absl::Seconds(1); ///< and after it refused one
+    absl::Duration reclaimWithin = absl::Milliseconds(2'900); ///< guaranteed work begins; platform
+    absl::Duration stopTime = absl::Milliseconds(900); ///< longest stop of a run; of the platform
+    absl::Duration failureGuard = absl::Seconds(4);    ///< a worker rests after a failed item
+    absl::Duration refusalGuard = absl::Seconds(1);    ///< and after it refused one
 };
 
 /// What a decision is based on.
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -84,6 +84,8 @@
 
     /// The unit's team uses no more than its guarantee with it.
     bool isGuaranteed(const waiting_unit &unit) const;
+    /// Its guarantee would be met too late if nothing were stopped now.
+    bool mustReclaim(const waiting_unit &unit) const;
     std::vector<victim> victimsOn(const waiting_unit &unit, const worker_room &room) const;
     eviction_plan evict(const waiting_unit &unit, const room_filter &accept) const;
     double lossOf(const unit_id &unit) const;
--- a/src/batch/plan_preempt.cpp
+++ b/src/batch/plan_preempt.cpp
@@ -13,10 +13,10 @@
 /// Seconds of work lost when a run with checkpoints is stopped: the restore and the order.
 constexpr double CheckpointLossSeconds = 0.3;
 
-/// Core-seconds that may be lost for an urgent unit beyond its team's guarantee: a base, and a
-/// multiple of its own work. Beyond this the loss costs the callers more than the unit gains.
-constexpr double PreemptionBase = 300.0;
-constexpr double PreemptionRatio = 2.5;
+/// Core-seconds that may be lost for an urgent unit: a base, and a multiple of its own work. Beyond
+/// this the loss costs the callers more than the unit gains.
+constexpr double PreemptionBase = 150.0;
+constexpr double PreemptionRatio = 1.2;
 
 /// Smallest loss of a run that is stopped, in seconds; keeps the number of victims low.
 constexpr double LeastLossSeconds = 0.2;
@@ -25,9 +25,9 @@
 /// which costs its caller about as much as the stop of other work may.
 constexpr double UrgentVictimLoss = 1'000.0;
 
-/// Urgent work of another team gets this time to end by itself before a guarantee is reclaimed
-/// from it, in ms. The platform's bound is 2.9 s from the acceptance, and a stop takes up to 0.9 s.
-constexpr unix_ms ReclaimPatienceMs = 1'200;
+/// Kept free, besides the time of a stop, for the ways of the orders before a guarantee has to be
+/// met.
+constexpr absl::Duration ReclaimMargin = absl::Milliseconds(700);
 
 } // namespace
 
@@ -67,8 +67,7 @@
     // Urgent work of a team beyond its guarantee gives way to urgent work within one.
     const batch_team *other = input.config->findTeam(victim.job.team);
     return other != nullptr && other->id != unit.job->job.team && unit.guaranteed
-        && input.nowMs - unit.job->job.submittedMs >= ReclaimPatienceMs
-        && urgentUse(other->id) > other->guaranteedAccelerators;
+        && mustReclaim(unit) && urgentUse(other->id) > other->guaranteedAccelerators;
 }
 
 bool plan_maker::isGuaranteed(const waiting_unit &unit) const
@@ -79,6 +78,13 @@
         <= team->guaranteedAccelerators;
 }
 
+bool plan_maker::mustReclaim(const waiting_unit &unit) const
+{
+    const absl::Duration patience = options.reclaimWithin - options.stopTime - ReclaimMargin;
+    return unit.guaranteed
+        && input.nowMs - unit.job->job.submittedMs >= absl::ToInt64Milliseconds(patience);
+}
+
 std::vector<plan_maker::victim> plan_maker::victimsOn(const waiting_unit &unit,
                                                       const worker_room &room) const
 {
@@ -105,15 +111,22 @@
         available[i] = rooms[i].free;
         available[i] += rooms[i].releasing;
     }
-    const auto release = [&](const unit_id &id, std::vector<resources> *room) {
+    // Calls `change` with the room of each member that still runs.
+    const auto eachMember = [&](const unit_id &id, const auto &change) {
         const resources need = input.state->find(id.job)->job.steps[id.step].item;
         for (const member_state &member : input.state->findUnit(id)->active->members) {
             for (std::size_t i = 0; i < rooms.size(); ++i) {
                 if (rooms[i].agent == member.member.agent && !member.end)
-                    (*room)[i] += need;
+                    change(i, need);
             }
         }
     };
+    const auto release = [&](const unit_id &id, std::vector<resources> *room) {
+        eachMember(id, [room](std::size_t i, const resources &need) { (*room)[i] += need; });
+    };
+    const auto hold = [&](const unit_id &id, std::vector<resources> *room) {
+        eachMember(id, [room](std::size_t i, const resources &need) { (*room)[i] -= need; });
+    };
     while (result.chosen.size() < unit.members) {
         std::size_t bestRoom = rooms.size();
         double bestCost = std::numeric_limits<double>::max();
@@ -136,6 +149,16 @@
                 chosen.push_back(one.unit);
                 cost += one.cost;
             }
+            // The cheapest victims come first, and a later one may make some of them needless.
+            for (std::size_t v = chosen.size(); v-- > 0;) {
+                std::vector<resources> without = trial;
+                hold(chosen[v], &without);
+                if (!fits(without[i], unit.step->item))
+                    continue;
+                trial = std::move(without);
+                cost -= lossOf(chosen[v]);
+                chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(v));
+            }
             if (fits(trial[i], unit.step->item) && cost < bestCost) {
                 bestRoom = i;
                 bestCost = cost;
@@ -175,7 +198,7 @@
         return false;
     const double work = static_cast<double>(unit.expectedMs) / 1000.0 * weightOf(unit.step->item)
         * static_cast<double>(unit.members);
-    if (!unit.guaranteed && best.cost > PreemptionBase + PreemptionRatio * work)
+    if (!mustReclaim(unit) && best.cost > PreemptionBase + PreemptionRatio * work)
         return false;
     for (const unit_id &victim : best.victims)
         stop(victim, absl::StrCat("for ", toString(unit.id), ", ", describe(unit)));
--- a/tests/batch_plan_test.cpp
+++ b/tests/batch_plan_test.cpp
@@ -65,6 +65,34 @@
     EXPECT_THAT(site.plan().stopped, ElementsAre("normal"));
 }
 
+// Load: urgent jobs of a team with a guarantee on a site full of long runs. Guards against work
+// worth more than the urgent job that is thrown away although some may end by itself in time.
+TEST(batch_plan, dearWorkIsStoppedOnlyWhenTheGuaranteeIsDue)
+{
+    plan_site site(1);
+    site.submit("long", "normal", "b", plan_site::stepOf(1, 8, false, 30'000));
+    site.run("long", {0});
+    site.pass(20'000);
+    site.submit("urgent", "urgent", "a", plan_site::stepOf(1, 8));
+    EXPECT_THAT(site.plan().stopped, IsEmpty());
+    site.pass(1'400);
+    EXPECT_THAT(site.plan().stopped, ElementsAre("long"));
+}
+
+// Load: small runs beside large ones. Guards against stopping a small run first, because it is
+// cheap, and then a large one that alone makes enough room.
+TEST(batch_plan, stopsNoRunThatMakesNoDifference)
+{
+    plan_site site(1);
+    site.submit("small", "normal", "b", plan_site::stepOf(1, 1, false, 9'000));
+    site.run("small", {0});
+    site.submit("large", "normal", "b", plan_site::stepOf(1, 7, false, 9'000));
+    site.run("large", {0});
+    site.pass(1'000);
+    site.submit("urgent", "urgent", "a", plan_site::stepOf(1, 7));
+    EXPECT_THAT(site.plan().stopped, ElementsAre("large"));
+}
+
 // Load: more urgent jobs than the fleet can serve in time. Guards against throwing work away for
 // an urgent job that can no longer be in time and that no guarantee covers.
 TEST(batch_plan, lateUrgentWorkStopsNothing)
