Settle submissions while their callers wait

Change: records that the store may have got are waited for until shortly before the caller's deadline; what it surely has not got is still refused after 1.5 s.

Test: log_writer_test.settlesWhatTheStoreMayHaveGotWhileTheCallerWaits.

--- a/include/hyssoppond/batch/log_writer_base.h
+++ b/include/hyssoppond/batch/log_writer_base.h
@@ -35,9 +35,14 @@
     log_writer(writer_options options, store_port *store, loop_hooks hooks);
 
     /// Queues records that are written together. `done` is called once, with the offset of the
-    /// first record if they were written. After `deadline` they are no longer sent for the first
-    /// time.
-    void write(std::vector<stored_record> records, absl::Time deadline, completion done);
+    /// first record if they were written. Records that the store has not got by `deadline` are
+    /// withdrawn. Those that it may have got are waited for until `settleBy`.
+    void write(std::vector<stored_record> records, absl::Time deadline, absl::Time settleBy,
+               completion done);
+    void write(std::vector<stored_record> records, absl::Time deadline, completion done)
+    {
+        write(std::move(records), deadline, deadline, std::move(done));
+    }
 
     void tick();
     absl::Time nextDeadline() const;
@@ -54,6 +59,7 @@
     {
         std::vector<stored_record> records;
         absl::Time deadline;
+        absl::Time settleBy;
         completion done; ///< empty once called
         std::size_t size = 0;
     };
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -347,10 +347,12 @@
                                      first.item.accelerators, " accelerators, ", first.estimateMs,
                                      " ms, ", job.steps.size(), " steps");
     const batch_record record = job_submitted {std::move(job)};
-    const absl::Time deadline
-        = std::min(call.deadline - AnswerMargin, m_hooks.now() + RecordWithin);
+    // A caller may not be able to repeat a call of unknown outcome, so it is settled while the
+    // caller still waits.
+    const absl::Time settleBy = call.deadline - AnswerMargin;
+    const absl::Time deadline = std::min(settleBy, m_hooks.now() + RecordWithin);
     m_writer.write(
-        {{keyOf(record), encodeRecord(record), 0}}, deadline,
+        {{keyOf(record), encodeRecord(record), 0}}, deadline, settleBy,
         [this, id, respond, shape = std::move(shape)](write_result what, std::uint64_t offset) {
             job_reply reply;
             if (what == write_result::Written) {
--- a/src/batch/log_writer.cpp
+++ b/src/batch/log_writer.cpp
@@ -21,14 +21,16 @@
     , m_hooks(std::move(hooks))
 { }
 
-void log_writer::write(std::vector<stored_record> records, absl::Time deadline, completion done)
+void log_writer::write(std::vector<stored_record> records, absl::Time deadline, absl::Time settleBy,
+                       completion done)
 {
     if (m_fenced) {
         done(write_result::Fenced, 0);
         return;
     }
     const std::size_t size = records.size();
-    m_queue.push_back({std::move(records), deadline, std::move(done), size});
+    m_queue.push_back(
+        {std::move(records), deadline, std::max(deadline, settleBy), std::move(done), size});
     if (m_sent.empty())
         sendNext();
 }
@@ -45,7 +47,7 @@
         next = m_retryAt;
     for (const queued &one : m_sent) {
         if (one.done)
-            next = std::min(next, one.deadline);
+            next = std::min(next, one.deadline > m_hooks.now() ? one.deadline : one.settleBy);
     }
     for (const queued &one : m_queue)
         next = std::min(next, one.deadline);
@@ -81,7 +83,7 @@
         });
     }
     for (queued &one : m_sent) {
-        if (one.done && one.deadline <= now) {
+        if (one.done && one.settleBy <= now) {
             unknown.push_back(std::move(one.done));
             one.done = nullptr;
         }
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -462,6 +462,30 @@
     EXPECT_TRUE(writer.isIdle());
 }
 
+// Guards against "outcome unknown" for a caller that still waits while the outcome becomes known
+// (inc-de2f of kivu-bells: two submissions while answers of the store were lost).
+TEST(log_writer_test, settlesWhatTheStoreMayHaveGotWhileTheCallerWaits)
+{
+    virtual_clock clock(1);
+    fake_store store(&clock);
+    store_port port = store.portOf("writer", std::make_shared<bool>(true));
+    store.faults["writer"].loseAnswers = 1.0;
+    const loop_hooks hooks {[&] { return clock.now(); }, [&] { return clock.now(); },
+                            [&] { return clock.random(); }};
+    log_writer writer({"keyed.t", "p"}, &port, hooks);
+    std::vector<write_result> results;
+    const absl::Time began = clock.now();
+    writer.write({{"key", "value", 0}}, began + absl::Milliseconds(1'500),
+                 began + absl::Milliseconds(2'850),
+                 [&](write_result what, std::uint64_t) { results.push_back(what); });
+    clock.after(absl::Milliseconds(1'800), [&] { store.faults["writer"].loseAnswers = 0.0; });
+    for (int i = 0; i < 280; ++i) {
+        writer.tick();
+        clock.runFor(absl::Milliseconds(10));
+    }
+    EXPECT_EQ(results, std::vector<write_result> {write_result::Written});
+}
+
 // Guards against a submission that is accepted and can never be carried out.
 TEST(batch_check_test, refusesStepsThatDependOnThemselves)
 {
