Stop work for an urgent job only when it must be now

Cause: urgent jobs that still had time stopped other runs at once, although runs end by themselves several times a second on a busy site.

Change: a loss of more than 30 core-seconds is accepted only when the stop has to begin within 0.4 s for the job to be in time, or its guarantee is due.

Test: workIsStoppedNoSoonerThanNeeded.

--- a/src/batch/plan_preempt.cpp
+++ b/src/batch/plan_preempt.cpp
@@ -18,6 +18,11 @@
 constexpr double PreemptionBase = 150.0;
 constexpr double PreemptionRatio = 1.2;
 
+/// A loss of so many core-seconds is accepted at once; a larger one only when a stop must begin now,
+/// with this lead, for the urgent unit to be in time.
+constexpr double NegligibleLoss = 30.0;
+constexpr absl::Duration PreemptionLead = absl::Milliseconds(400);
+
 /// Smallest loss of a run that is stopped, in seconds; keeps the number of victims low.
 constexpr double LeastLossSeconds = 0.2;
 
@@ -196,6 +201,10 @@
         best = evict(unit, [](const worker_room &) { return true; });
     if (best.chosen.empty())
         return false;
+    const std::int64_t leftMs = unit.latestStartMs - input.nowMs;
+    if (!mustReclaim(unit) && best.cost > NegligibleLoss
+        && leftMs > absl::ToInt64Milliseconds(options.stopTime + PreemptionLead))
+        return false; // other runs may end by themselves in time
     const double work = static_cast<double>(unit.expectedMs) / 1000.0 * weightOf(unit.step->item)
         * static_cast<double>(unit.members);
     if (!mustReclaim(unit) && best.cost > PreemptionBase + PreemptionRatio * work)
--- a/tests/batch_plan_test.cpp
+++ b/tests/batch_plan_test.cpp
@@ -79,6 +79,20 @@
     EXPECT_THAT(site.plan().stopped, ElementsAre("long"));
 }
 
+// Load: urgent jobs on a busy site where runs end all the time. Guards against a stop at once for a
+// job that could wait for room and still be in time.
+TEST(batch_plan, workIsStoppedNoSoonerThanNeeded)
+{
+    plan_site site(1);
+    site.submit("normal", "normal", "b", plan_site::stepOf(1, 8, false, 9'000));
+    site.run("normal", {0});
+    site.pass(1'000);
+    site.submit("urgent", "urgent", "a", plan_site::stepOf(1, 8, false, 4'000));
+    EXPECT_THAT(site.plan().stopped, IsEmpty());
+    site.pass(1'100);
+    EXPECT_THAT(site.plan().stopped, ElementsAre("normal"));
+}
+
 // Load: small runs beside large ones. Guards against stopping a small run first, because it is
 // cheap, and then a large one that alone makes enough room.
 TEST(batch_plan, stopsNoRunThatMakesNoDifference)
