--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -73,6 +73,7 @@
         bool gang = false;
         bool unwanted = false; ///< to be stopped
         bool stopSent = false;
+        absl::Time stopAt = absl::InfinitePast(); ///< next try, after a stop that failed
         bool uncertain = false; ///< a start got no answer
         phase state = phase::Ordered;
         int percent = 0;
--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -43,6 +43,7 @@
     double executeLate = 0.0;       ///< share of orders carried out 2 to 12 s later, unanswered
     bool grantsFromArrival = false; ///< a late order's lease counts from its arrival
     bool unreachable = false;
+    bool resets = false;  ///< connections break at once, without effect
     bool failAll = false; ///< every item fails at once
 };
 
@@ -63,6 +64,7 @@
     worker_faults faults;
     double clockRate = 1.0;                     ///< of its steady clock
     absl::Duration itemTime = absl::Seconds(2); ///< of each item
+    std::size_t calls = 0;                      ///< that reached it or were meant to
     std::int64_t longestLeaseMs = 6'000;
     std::size_t running() const { return m_runs.size(); }
 
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -102,6 +102,11 @@
         next = std::min(next, m_beatAt);
     if (wantsLook() && !m_looking)
         next = std::min(next, m_lookAt);
+    for (const auto &[id, run] : m_runs) {
+        if (m_synced && m_announced && isCurrent(run) && run.unwanted && !run.stopSent
+            && run.state == phase::Running)
+            next = std::min(next, run.stopAt);
+    }
     return next;
 }
 
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -19,6 +19,9 @@
 /// Pause after a look that got no answer, or while ends wait for the journal.
 constexpr absl::Duration LookRetry = absl::Milliseconds(200);
 
+/// Pause after a stop that failed.
+constexpr absl::Duration OrderRetry = absl::Milliseconds(200);
+
 /// A lease is renewed after this time even while ends wait for the journal.
 constexpr absl::Duration LeaseRenewal = absl::Milliseconds(1500);
 
@@ -219,7 +222,8 @@
         return;
     std::vector<item_run> due;
     for (const auto &[id, run] : m_runs) {
-        if (run.unwanted && !run.stopSent && run.state == phase::Running && isCurrent(run))
+        if (run.unwanted && !run.stopSent && run.stopAt <= m_hooks.now()
+            && run.state == phase::Running && isCurrent(run))
             due.push_back(id);
     }
     for (const item_run &id : due)
@@ -238,12 +242,15 @@
                        if (answer.outcome == order_outcome::Done)
                            return; // its end will be listed
                        decided("stop failed", nameOf(id), "");
+                       const absl::Time again = m_hooks.now() + OrderRetry;
                        const auto run = m_runs.find(id);
-                       if (run != m_runs.end())
+                       if (run != m_runs.end()) {
                            run->second.stopSent = false;
+                           run->second.stopAt = again;
+                       }
                        if (answer.outcome == order_outcome::NoAnswer)
                            supersedeOrders();
-                       m_lookAt = m_hooks.now();
+                       m_lookAt = std::max(m_lookAt, again);
                    });
 }
 
--- a/src/batch/plan_preempt.cpp
+++ b/src/batch/plan_preempt.cpp
@@ -18,8 +18,8 @@
 constexpr double PreemptionBase = 150.0;
 constexpr double PreemptionRatio = 1.2;
 
-/// A loss of so many core-seconds is accepted at once; a larger one only when a stop must begin now,
-/// with this lead, for the urgent unit to be in time.
+/// A loss of so many core-seconds is accepted at once; a larger one only when a stop must begin
+/// now, with this lead, for the urgent unit to be in time.
 constexpr double NegligibleLoss = 30.0;
 constexpr absl::Duration PreemptionLead = absl::Milliseconds(400);
 
--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -249,6 +249,14 @@
                     done(none);
             });
         };
+        ++calls;
+        if (faults.resets) {
+            m_clock->after(OrderTime, [living, done, none] {
+                if (*living)
+                    done(none);
+            });
+            return;
+        }
         if (faults.unreachable || m_clock->now() < m_upAt) {
             silent();
             return;
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -428,6 +428,26 @@
     EXPECT_LE(m_site->history.starts, 40U + 1U + 8U) << "more was stopped than one worker holds";
 }
 
+// Load: workers that reset every connection for some seconds. Guards against a stop or a look that
+// is repeated without a pause (scale-1 of burrowline-tx-grown, seed 31: 10,000 connections).
+TEST_F(batch_test, callsToAWorkerThatBreaksThemAreSpacedOut)
+{
+    start(1, 1);
+    fake_item_worker &worker = *m_site->workers.at("agent-0");
+    worker.itemTime = absl::Seconds(20);
+    const std::string id = batch_site::idOf(60);
+    m_site->submit("entry-0", id, "normal", batch_site::stepOf(4, 1, false));
+    m_site->clock.runFor(absl::Seconds(1));
+    worker.faults.resets = true;
+    m_site->call("entry-0", call_kind::Cancel, "/normal/" + id);
+    const std::size_t before = worker.calls;
+    m_site->clock.runFor(absl::Seconds(4));
+    EXPECT_LE(worker.calls - before, 4U * 5U * 5U) << "5 calls, 5 times a second";
+    worker.faults.resets = false;
+    m_site->clock.runFor(absl::Seconds(1));
+    EXPECT_EQ(worker.running(), 0U);
+}
+
 // Guards against a job whose item always fails and that is never given up.
 TEST_F(batch_test, jobFailsAfterAllAttempts)
 {
