Add a randomized fault soak of the real processes

scripts/soak.py runs entries and agents against the stand-in of the platform and injects kills, pauses, stops, restarts and, by a proxy for each process, delayed, reset, refused, silent and one-way silent connections to the store. It checks from outside that no item runs twice, that accepted jobs end and are never denied, and that refused ones do not exist.

Cause: the stand-in ignored the generation of a join, so that its group never gave the partition on; it passes it now.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 CMAKE = cmake -G Ninja -DCMAKE_EXPORT_COMPILE_COMMANDS=ON
 
-.PHONY: all deps build clang asan tsan check check-asan check-tsan format lint test demo bench faults faults-processes capacity proto summary clean
+.PHONY: all deps build clang asan tsan check check-asan check-tsan format lint test demo soak bench faults faults-processes capacity proto summary clean
 
 all: build
 
@@ -51,6 +51,10 @@
 demo: build
 	@scripts/demo.sh $(BUILD)
 
+# Random faults on real processes; scripts/soak.py --help lists the options for longer runs.
+soak: build
+	@scripts/soak.py $(BUILD) --seed 2 --seconds 8
+
 bench: build
 	@$(BUILD)/hyssoppond-bench
 
--- a/include/hyssoppond/batch/store_relay_base.h
+++ b/include/hyssoppond/batch/store_relay_base.h
@@ -69,7 +69,7 @@
     void setDirectLost(bool lost);
     void serve(const relayed_append &call);
     void serve(const relayed_read &call);
-    void reply(const std::string &address, const peer_message &message);
+    void reply(const std::string &address, const peer_message &message) const;
 
     std::string m_ownAddress;
     store_port *m_direct;
--- a/src/batch/store_relay.cpp
+++ b/src/batch/store_relay.cpp
@@ -311,7 +311,7 @@
     }
 }
 
-void store_relay::reply(const std::string &address, const peer_message &message)
+void store_relay::reply(const std::string &address, const peer_message &message) const
 {
     send(address, encodePeerMessage(message));
 }
--- a/standins/platform/platform_standin.cpp
+++ b/standins/platform/platform_standin.cpp
@@ -205,6 +205,8 @@
         call.group = platform::textField(body, "group").value_or("");
         call.member = platform::textField(body, "member").value_or("");
         call.ttl = absl::Milliseconds(platform::numberField(body, "ttlMs").value_or(1000));
+        call.generation
+            = static_cast<std::uint64_t>(platform::numberField(body, "generation").value_or(0));
         call.deadline = never();
         const std::string joined = body["topics"][0].get<std::string>();
         m_port.join(call, [respond, joined](const batch::join_answer &answer) {
--- a/tests/batch_plan_test.cpp
+++ b/tests/batch_plan_test.cpp
@@ -10,10 +10,8 @@
 namespace {
 
 using testing::Contains;
-using testing::Each;
 using testing::ElementsAre;
 using testing::IsEmpty;
-using testing::Not;
 
 batch_step sameRack(batch_step step)
 {
--- a/tests/plan_site_base.h
+++ b/tests/plan_site_base.h
@@ -63,7 +63,7 @@
     /// Orders a run of the whole first step on the workers named, as an earlier plan did.
     void run(const std::string &id, const std::vector<std::size_t> &workers, bool gang = false)
     {
-        const auto member = [this](std::uint32_t index, std::size_t worker) {
+        const auto member = [](std::uint32_t index, std::size_t worker) {
             return run_member {index, agentOf(worker), BornMs};
         };
         run_ordered ordered;
