--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -7,7 +7,7 @@
   - no item ran twice at once or after it was done (the stand-in's own record);
   - each accepted job that was not cancelled is completed, and was never denied after its acceptance;
   - a job of which every submission was refused does not exist.
-Usage: soak.py BUILD [--seed N] [--seeds N] [--seconds S]. Prints one line per seed and a count.
+Usage: soak.py BUILD [--seed N] [--seeds N] [--seconds S] [--base-port P]. Prints one line per seed and a count.
 """
 import argparse
 import asyncio
@@ -19,7 +19,7 @@
 import sys
 import tempfile
 
-BASE_PORT = 17900  # to BASE_PORT + 90; all on 127.0.0.1
+BASE_PORT = 17900  # default; to BASE_PORT + 90, all on 127.0.0.1
 ENTRIES, AGENTS = 3, 4
 SETTLE_SECONDS = 120  # for all jobs to end once the faults are over; a bound for a stuck run only
 CALL_SECONDS = 4  # one call of a caller
@@ -268,7 +268,9 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--base-port", type=int, default=BASE_PORT)
     given = parser.parse_args()
+    globals()["BASE_PORT"] = given.base_port
     failed = 0
     for seed in range(given.seed, given.seed + given.seeds):
         folder = tempfile.mkdtemp(prefix="hyssoppond-soak-")
