--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -74,7 +74,7 @@
         bool unwanted = false; ///< to be stopped
         bool stopSent = false;
         absl::Time stopAt = absl::InfinitePast(); ///< next try, after a stop that failed
-        bool uncertain = false; ///< a start got no answer
+        bool uncertain = false;                   ///< a start got no answer
         phase state = phase::Ordered;
         int percent = 0;
         absl::Time progressAt;
