--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -112,6 +112,9 @@
             self.start_daemon(name)
 
     def start_daemon(self, name):
+        current = self.processes.get(name)
+        if current is not None and current.poll() is None:
+            return  # a fault that overlapped has started it again
         self.spawn(name, [f"{self.build}/hyssoppond", "--role", name.split("-")[0]],
                    {"HYSSOPPOND_SETTINGS": self.path(name + ".json")})
 
