--- a/tests/batch_store_test.cpp
+++ b/tests/batch_store_test.cpp
@@ -17,23 +17,23 @@
         request.topic = "keyed.t";
         request.records = {{"key", "value", 0}};
         request.producer = producer_stamp {"producer", 1, 1};
-        request.deadline = clock.now() + absl::Seconds(2);
+        request.deadline = m_clock.now() + absl::Seconds(2);
         return request;
     }
 
-    virtual_clock clock {1};
-    fake_store store {&clock};
-    loop_hooks hooks {[this] { return clock.now(); }, [this] { return clock.now(); },
-                      [this] { return clock.random(); }};
+    virtual_clock m_clock {1};
+    fake_store m_store {&m_clock};
+    loop_hooks m_hooks {[this] { return m_clock.now(); }, [this] { return m_clock.now(); },
+                        [this] { return m_clock.random(); }};
 };
 
 // Guards against an append that is kept twice, once directly and late, once through a peer.
 TEST_F(batch_store_test, appendIsKeptOnceWhenBothWaysCarryItOut)
 {
-    store_port direct = store.portOf("own", std::make_shared<bool>(true));
-    store_port ofPeer = store.portOf("peer", std::make_shared<bool>(true));
-    store_relay own("own", &direct, hooks);
-    store_relay peer("peer", &ofPeer, hooks);
+    store_port direct = m_store.portOf("own", std::make_shared<bool>(true));
+    store_port ofPeer = m_store.portOf("peer", std::make_shared<bool>(true));
+    store_relay own("own", &direct, m_hooks);
+    store_relay peer("peer", &ofPeer, m_hooks);
     own.peers = [] { return std::vector<std::string> {"peer"}; };
     own.send = [&](const std::string &, const std::string &message) {
         peer.receive(*decodePeerMessage(message));
@@ -41,26 +41,26 @@
     peer.send = [&](const std::string &, const std::string &message) {
         own.receive(*decodePeerMessage(message));
     };
-    store.faults["own"].executeLate = 1.0;
+    m_store.faults["own"].executeLate = 1.0;
     const append_request request = stampedAppend();
     std::vector<append_answer> answers;
     own.port().append(request, [&](const append_answer &answer) { answers.push_back(answer); });
     for (int i = 0; i < 900; ++i) {
         own.tick();
-        clock.runFor(absl::Milliseconds(10));
+        m_clock.runFor(absl::Milliseconds(10));
     }
     ASSERT_EQ(answers.size(), 1U);
     EXPECT_EQ(answers.front().outcome, store_outcome::Ok);
-    EXPECT_EQ(store.endOf("keyed.t"), 1U);
+    EXPECT_EQ(m_store.endOf("keyed.t"), 1U);
     EXPECT_EQ(own.relayed(), 1U);
 }
 
 // Guards against "nothing was done" although a peer may have carried the append out.
 TEST_F(batch_store_test, outcomeIsUnknownWhenAPeerDoesNotAnswer)
 {
-    store_port direct = store.portOf("own", std::make_shared<bool>(true));
-    store.faults["own"].refuse = true;
-    store_relay own("own", &direct, hooks);
+    store_port direct = m_store.portOf("own", std::make_shared<bool>(true));
+    m_store.faults["own"].refuse = true;
+    store_relay own("own", &direct, m_hooks);
     own.peers = [] { return std::vector<std::string> {"peer"}; };
     own.send = [](const std::string &, const std::string &) {};
     const append_request request = stampedAppend();
@@ -68,7 +68,7 @@
     own.port().append(request, [&](const append_answer &answer) { answers.push_back(answer); });
     for (int i = 0; i < 300; ++i) {
         own.tick();
-        clock.runFor(absl::Milliseconds(10));
+        m_clock.runFor(absl::Milliseconds(10));
     }
     ASSERT_EQ(answers.size(), 1U);
     EXPECT_EQ(answers.front().outcome, store_outcome::Unknown);
@@ -78,16 +78,16 @@
 // way (bad_function_call in scale-2 of kivu-bells).
 TEST_F(batch_store_test, refusalAfterTheDeadlineIsNotReportedTwice)
 {
-    store_port port = store.portOf("writer", std::make_shared<bool>(true));
-    store.faults["writer"].refuse = true;
-    store.faults["writer"].answerDelay = absl::Milliseconds(300);
-    log_writer writer({"keyed.t", "p"}, &port, hooks);
+    store_port port = m_store.portOf("writer", std::make_shared<bool>(true));
+    m_store.faults["writer"].refuse = true;
+    m_store.faults["writer"].answerDelay = absl::Milliseconds(300);
+    log_writer writer({"keyed.t", "p"}, &port, m_hooks);
     std::vector<write_result> results;
-    writer.write({{"key", "value", 0}}, clock.now() + absl::Milliseconds(100),
+    writer.write({{"key", "value", 0}}, m_clock.now() + absl::Milliseconds(100),
                  [&](write_result what, std::uint64_t) { results.push_back(what); });
     for (int i = 0; i < 100; ++i) {
         writer.tick();
-        clock.runFor(absl::Milliseconds(10));
+        m_clock.runFor(absl::Milliseconds(10));
     }
     EXPECT_EQ(results, std::vector<write_result> {write_result::Unknown});
     EXPECT_TRUE(writer.isIdle());
@@ -97,18 +97,18 @@
 // (inc-de2f of kivu-bells: two submissions while answers of the store were lost).
 TEST_F(batch_store_test, settlesWhatTheStoreMayHaveGotWhileTheCallerWaits)
 {
-    store_port port = store.portOf("writer", std::make_shared<bool>(true));
-    store.faults["writer"].loseAnswers = 1.0;
-    log_writer writer({"keyed.t", "p"}, &port, hooks);
+    store_port port = m_store.portOf("writer", std::make_shared<bool>(true));
+    m_store.faults["writer"].loseAnswers = 1.0;
+    log_writer writer({"keyed.t", "p"}, &port, m_hooks);
     std::vector<write_result> results;
-    const absl::Time began = clock.now();
+    const absl::Time began = m_clock.now();
     writer.write({{"key", "value", 0}}, began + absl::Milliseconds(1'500),
                  began + absl::Milliseconds(2'850),
                  [&](write_result what, std::uint64_t) { results.push_back(what); });
-    clock.after(absl::Milliseconds(1'800), [&] { store.faults["writer"].loseAnswers = 0.0; });
+    m_clock.after(absl::Milliseconds(1'800), [&] { m_store.faults["writer"].loseAnswers = 0.0; });
     for (int i = 0; i < 280; ++i) {
         writer.tick();
-        clock.runFor(absl::Milliseconds(10));
+        m_clock.runFor(absl::Milliseconds(10));
     }
     EXPECT_EQ(results, std::vector<write_result> {write_result::Written});
 }
