--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -125,6 +125,8 @@
     /// End of the longest lease that is allowed now, in ms on the worker's clock; none if no lease
     /// is allowed.
     std::optional<std::int64_t> leaseUntilMs() const;
+    /// Lease that was granted and the age of the evidence for it, for the log.
+    std::string describeLease() const;
     /// Fencing token of the next order.
     std::uint64_t currentToken() const;
     /// Raises the fencing token, so that the worker rejects all orders that were sent before.
@@ -166,6 +168,7 @@
     absl::Time m_incarnationConfirmedAt = absl::InfinitePast(); ///< last answer to a poll
     std::uint64_t m_workerIncarnation = 0; ///< counts the worker incarnations seen
     std::uint32_t m_reportsInFlight = 0;
+    std::int64_t m_grantedUntilMs = 0; ///< end of the longest lease sent, on the worker's clock
     std::optional<std::int64_t> m_workerClockMs;
     absl::Time m_workerClockReadAt;
 };
--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -40,11 +40,16 @@
     /// To be called before the journal is reloaded from the newest record of each key.
     void onReloading()
     {
+        m_reloading = true;
         m_evictionReadAt.clear();
         m_scheduler.forgetRunTimes();
     }
     /// To be called after the journal was reloaded.
-    void onReloaded() { m_planDue = true; }
+    void onReloaded()
+    {
+        m_reloading = false;
+        m_planDue = true;
+    }
     /// To be called after records were applied to the state.
     void onRecords() { m_planDue = true; }
 
@@ -120,6 +125,7 @@
     /// Writers of earlier terms, kept until their last call is answered.
     std::vector<std::unique_ptr<log_writer>> m_retiredWriters;
     bool m_recording = false;
+    bool m_reloading = false; ///< the journal is being applied from the newest record of each key
     std::uint64_t m_recordedTo = 0; ///< offset after the newest record of this decider
     bool m_planDue = false;
     std::uint64_t m_jobsOver = 0; ///< batch_state::jobsOver() when the entries were last woken
--- a/include/hyssoppond/batch/batch_state_base.h
+++ b/include/hyssoppond/batch/batch_state_base.h
@@ -68,6 +68,17 @@
     bool isOver() const { return cancelled || failed || occurrencesLeft == 0; }
 };
 
+/// Record from which the state concludes that a member of a run has ended.
+enum class end_evidence : std::uint8_t {
+    AgentRecord,       ///< its agent recorded the end
+    DeciderRecord,     ///< the decider declared it lost after an eviction
+    WorkerIncarnation, ///< its agent announced another incarnation of the worker, or none
+    LaterOrder,        ///< the unit was ordered again
+};
+
+inline constexpr name_table<end_evidence, 4> EndEvidenceNames {
+    {"AgentRecord", "DeciderRecord", "WorkerIncarnation", "LaterOrder"}};
+
 /// A member of a run that ended, as passed to batch_state::onMemberEnded.
 struct ended_member
 {
@@ -76,6 +87,8 @@
     run_member member;
     run_end how = run_end::Lost;
     std::int64_t runTimeMs = 0; ///< see run_ended::runTimeMs
+    end_evidence evidence = end_evidence::AgentRecord;
+    std::uint64_t offset = 0; ///< of the record from which the end was concluded
 };
 
 /// State after applying the journal. Records have to be applied in the order of their offsets.
@@ -122,7 +135,8 @@
 
     unit_state *mutableUnit(const unit_id &unit);
     void endMember(const unit_id &unit, unit_state *state, member_state *member, run_end how,
-                   const std::string &checkpoint, std::int64_t runTimeMs = 0);
+                   const std::string &checkpoint, end_evidence evidence,
+                   std::int64_t runTimeMs = 0);
     void closeRun(const unit_id &unit, unit_state *state);
 
     std::map<job_id, job_state> m_jobs;
@@ -132,6 +146,7 @@
     decider_granted m_grant;
     std::map<process_id, process_started> m_processes;
     std::uint64_t m_jobsOver = 0;
+    std::uint64_t m_offset = 0; ///< of the record that is being applied
 };
 
 /// Number of units of a step: one for each item, or one for a gang.
--- a/include/hyssoppond/batch/log_follower_base.h
+++ b/include/hyssoppond/batch/log_follower_base.h
@@ -14,6 +14,19 @@
     absl::Duration answerTimeout = absl::Milliseconds(1200); ///< added to the wait
 };
 
+/// How the newest records were read; the pages are not a snapshot.
+struct load_summary
+{
+    std::uint64_t firstEnd = 0; ///< offset of the next append when the first page was read
+    std::uint64_t lastEnd = 0;  ///< the same for the last page
+    std::uint32_t pages = 0;
+    std::size_t newerRecords
+        = 0; ///< records of later pages that were appended after the first page
+};
+
+/// Text for the log.
+std::string toString(const load_summary &load);
+
 /// Reads the newest record of each key, then all further records. Not thread-safe.
 class log_follower
 {
@@ -42,6 +55,8 @@
 
     /// The newest record of each key was handed over.
     bool isLoaded() const { return m_loaded; }
+    /// The last load that was handed over.
+    const load_summary &lastLoad() const { return m_lastLoad; }
     /// Offset of the next record to read.
     std::uint64_t position() const { return m_position; }
     /// Latest time as of which all records of the topic are known to be handed over.
@@ -77,6 +92,7 @@
     absl::Time m_loadSentAt;
     std::uint64_t m_position = 0;
     std::uint64_t m_loadEnd = 0;
+    load_summary m_lastLoad;
     std::string m_afterKey;
     std::vector<stored_record> m_loadedRecords;
 };
--- a/include/hyssoppond/loop/event_loop_base.h
+++ b/include/hyssoppond/loop/event_loop_base.h
@@ -29,6 +29,9 @@
 
     /// Time on the steady clock; comparable only within this process.
     static absl::Time steadyNow();
+    /// Time since boot during which the machine was suspended, which the steady clock does not
+    /// count.
+    static absl::Duration suspendedTime();
     /// Time of day by the operating system's clock. absl::Now() interpolates with the processor's
     /// cycle counter, which runs at another rate where a machine is throttled or suspended.
     static absl::Time wallNow();
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -76,11 +76,15 @@
 {
     const batch_record record
         = process_started {m_options.agent, m_options.incarnation, false, m_options.wakeAddress};
-    m_writer.write({{keyOf(record), encodeRecord(record), 0}}, absl::InfiniteFuture(),
-                   [this](write_result writeResult, std::uint64_t offset) {
-                       if (writeResult == write_result::Written)
-                           m_sessionOffset = offset;
-                   });
+    m_writer.write(
+        {{keyOf(record), encodeRecord(record), 0}}, absl::InfiniteFuture(),
+        [this](write_result writeResult, std::uint64_t offset) {
+            if (writeResult != write_result::Written)
+                return;
+            m_sessionOffset = offset;
+            logDecision("session recorded", m_options.agent.str(),
+                        absl::StrCat("offset ", offset, ", incarnation ", m_options.incarnation));
+        });
 }
 
 void batch_agent::tick()
@@ -143,6 +147,7 @@
     m_acknowledgedEnd = 0;
     m_incarnationConfirmedAt = absl::InfinitePast();
     m_workerClockMs.reset();
+    m_grantedUntilMs = 0;
     m_pollAt = m_hooks.now();
     // An order for the previous incarnation may still arrive at this one.
     supersedeOrders();
@@ -153,7 +158,7 @@
 {
     if (!m_description || m_description->worker != worker)
         return;
-    logDecision("worker left", worker, "");
+    logDecision("worker left", worker, absl::StrCat(m_runs.size(), " runs, ", describeLease()));
     m_description.reset();
     m_announced = false;
     m_synced = false;
@@ -189,9 +194,15 @@
         record.worker = *m_description;
     const batch_record content = record;
     m_writer.write({{keyOf(content), encodeRecord(content), 0}}, absl::InfiniteFuture(),
-                   [this, workerIncarnation = m_workerIncarnation](write_result writeResult,
-                                                                   std::uint64_t /*offset*/) {
+                   [this, workerIncarnation = m_workerIncarnation,
+                    announcedStartMs = record.worker.workerStartMs](write_result writeResult,
+                                                                    std::uint64_t offset) {
                        m_announcing = false;
+                       logDecision("announced", m_options.agent.str(),
+                                   absl::StrCat(writeResult == write_result::Written
+                                                    ? absl::StrCat("offset ", offset)
+                                                    : "not recorded",
+                                                ", worker incarnation ", announcedStartMs));
                        if (writeResult != write_result::Written)
                            m_announceDue = true;
                        else if (workerIncarnation == m_workerIncarnation && m_description)
@@ -239,7 +250,8 @@
         run.unwanted = run.unwanted || unwanted;
     }
     logDecision("journal loaded", "",
-                absl::StrCat(records.size(), " records, ", m_runs.size(), " runs"));
+                absl::StrCat(records.size(), " records, ", m_runs.size(), " runs, ",
+                             toString(m_follower.lastLoad())));
     tick();
 }
 
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -81,6 +81,15 @@
     return *m_workerClockMs + static_cast<std::int64_t>(passed) + lease;
 }
 
+std::string batch_agent::describeLease() const
+{
+    return absl::StrCat("lease until ", m_grantedUntilMs, " on its clock, which showed ",
+                        m_workerClockMs.value_or(0), " ",
+                        absl::FormatDuration(m_hooks.now() - m_workerClockReadAt),
+                        " ago; journal read ",
+                        absl::FormatDuration(m_hooks.now() - m_follower.currentAsOf()), " ago");
+}
+
 run_ended batch_agent::endOf(const item_run &id, run_end how, const std::string &checkpoint) const
 {
     run_ended ended {id.unit, id.run, id.member, m_options.agent, how, checkpoint, false};
@@ -105,12 +114,16 @@
     ++m_reportsInFlight;
     m_writer.write(std::move(records), absl::InfiniteFuture(),
                    [this, ends = std::move(ends), lastEnd, workerIncarnation = m_workerIncarnation](
-                       write_result writeResult, std::uint64_t /*offset*/) {
+                       write_result writeResult, std::uint64_t offset) {
                        --m_reportsInFlight;
                        if (writeResult != write_result::Written)
                            return; // only another process with the same producer name can fence
-                       for (const run_ended &ended : ends)
-                           markEnded({ended.unit, ended.member, ended.run});
+                       for (const run_ended &ended : ends) {
+                           const item_run id {ended.unit, ended.member, ended.run};
+                           logDecision("end recorded", nameOf(id),
+                                       absl::StrCat("offset ", offset++));
+                           markEnded(id);
+                       }
                        if (workerIncarnation == m_workerIncarnation)
                            m_handledEnd = std::max(m_handledEnd, lastEnd);
                        m_pollAt = m_hooks.now();
@@ -160,8 +173,8 @@
     run.state = phase::Starting;
     run.progressAt = m_hooks.now();
     ++run.startAttempts;
-    logDecision("start", nameOf(id),
-                absl::StrCat("token ", currentToken(), ", lease until ", *until));
+    m_grantedUntilMs = std::max(m_grantedUntilMs, *until);
+    logDecision("start", nameOf(id), absl::StrCat("token ", currentToken(), ", ", describeLease()));
     start_order order;
     order.run = id;
     order.payload = run.payload;
@@ -282,6 +295,7 @@
                                        [](const auto &entry) { return entry.second.uncertain; });
     poll_request request;
     request.leaseUntilMs = leaseUntilMs();
+    m_grantedUntilMs = std::max(m_grantedUntilMs, request.leaseUntilMs.value_or(0));
     request.fencingToken = currentToken();
     // The worker may have restarted since its last answer, and then numbers its ends anew. Ends
     // that were never read must not be acknowledged by the numbers of the previous incarnation.
@@ -326,7 +340,9 @@
     m_pollOnFreshConnection = false;
     if (answer.outcome != order_outcome::Done) {
         logDecision("look failed", "",
-                    absl::StrCat("poll failed, outcome ", static_cast<int>(answer.outcome)));
+                    absl::StrCat("poll failed, outcome ", static_cast<int>(answer.outcome),
+                                 ", token ", sentToken, ", ", m_runs.size(), " runs, ",
+                                 describeLease()));
         if (answer.outcome == order_outcome::StaleToken) {
             // An earlier process of this agent used a higher token, or an order of this process
             // arrived late.
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -67,8 +67,16 @@
 void batch_decider::onMemberEnded(const ended_member &ended)
 {
     m_scheduler.learn(ended, *m_state);
-    if (m_phase == phase::Deciding)
-        m_scheduler.observe(ended, *m_state, m_hooks.now());
+    if (m_phase != phase::Deciding)
+        return;
+    m_scheduler.observe(ended, *m_state, m_hooks.now());
+    if (!m_reloading) // a reload applies all earlier ends once more
+        logDecision(
+            "member ended",
+            absl::StrCat(toString(ended.unit), "/", ended.run, " member ", ended.member.index),
+            absl::StrCat(ended.member.agent.str(), " ", std::string(RunEndNames.name(ended.how)),
+                         ", by ", std::string(EndEvidenceNames.name(ended.evidence)), " at offset ",
+                         ended.offset, ", worker incarnation ", ended.member.workerStartMs));
 }
 
 absl::Time batch_decider::nextDeadline() const
@@ -297,7 +305,9 @@
             if (member.member.agent == agent && !member.end)
                 lostMembers.push_back(
                     {run_ended {unit, run.run, member.member.index, agent, run_end::Lost, "", true},
-                     agent.str()});
+                     absl::StrCat(agent.str(), ", eviction read ",
+                                  absl::FormatDuration(m_hooks.now() - m_evictionReadAt[agent]),
+                                  " ago")});
         }
     }
     if (!m_recording && !lostMembers.empty())
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -93,7 +93,8 @@
     m_journal.onLoaded = [this](const auto &records) {
         m_state.clear();
         m_decider.onReloading();
-        logDecision("journal loaded", "", absl::StrCat(records.size(), " records"));
+        logDecision("journal loaded", "",
+                    absl::StrCat(records.size(), " records, ", toString(m_journal.lastLoad())));
         applyJournal(records);
         m_decider.onReloaded();
         tick();
--- a/src/batch/batch_state.cpp
+++ b/src/batch/batch_state.cpp
@@ -31,8 +31,9 @@
     m_processes.clear();
 }
 
-void batch_state::apply(const batch_record &record, std::uint64_t /*offset*/)
+void batch_state::apply(const batch_record &record, std::uint64_t offset)
 {
+    m_offset = offset;
     std::visit([this](const auto &content) { applyRecord(content); }, record);
 }
 
@@ -127,7 +128,8 @@
     // replaced it in the store. The members that are still open are therefore lost.
     for (std::size_t i = 0; unit->active && i < unit->active->members.size(); ++i) {
         if (!unit->active->members[i].end)
-            endMember(record.unit, unit, &unit->active->members[i], run_end::Lost, "");
+            endMember(record.unit, unit, &unit->active->members[i], run_end::Lost, "",
+                      end_evidence::LaterOrder);
     }
     unit->lastRun = record.run;
     unit->lastOrderedMs = record.orderedMs;
@@ -150,7 +152,8 @@
         if (agent != m_agents.end()
             && (!agent->second.hasWorker
                 || agent->second.worker.workerStartMs != member.workerStartMs))
-            endMember(record.unit, unit, &unit->active->members[i], run_end::Lost, "");
+            endMember(record.unit, unit, &unit->active->members[i], run_end::Lost, "",
+                      end_evidence::WorkerIncarnation);
     }
 }
 
@@ -168,7 +171,9 @@
         return;
     for (member_state &member : unit->active->members) {
         if (member.member.index == record.member && !member.end) {
-            endMember(record.unit, unit, &member, record.how, record.checkpoint, record.runTimeMs);
+            endMember(record.unit, unit, &member, record.how, record.checkpoint,
+                      record.byDecider ? end_evidence::DeciderRecord : end_evidence::AgentRecord,
+                      record.runTimeMs);
             return;
         }
     }
@@ -189,7 +194,7 @@
             const bool sameIncarnation
                 = record.hasWorker && member.member.workerStartMs == record.worker.workerStartMs;
             if (member.member.agent == record.agent && !member.end && !sameIncarnation)
-                endMember(id, unit, &member, run_end::Lost, "");
+                endMember(id, unit, &member, run_end::Lost, "", end_evidence::WorkerIncarnation);
         }
     }
 }
@@ -209,7 +214,8 @@
 }
 
 void batch_state::endMember(const unit_id &unit, unit_state *state, member_state *member,
-                            run_end how, const std::string &checkpoint, std::int64_t runTimeMs)
+                            run_end how, const std::string &checkpoint, end_evidence evidence,
+                            std::int64_t runTimeMs)
 {
     member->end = how;
     if (!checkpoint.empty())
@@ -217,7 +223,8 @@
     if (how == run_end::Failed)
         state->failedOn.insert(member->member.agent);
     if (onMemberEnded)
-        onMemberEnded({unit, state->active->run, member->member, how, runTimeMs});
+        onMemberEnded(
+            {unit, state->active->run, member->member, how, runTimeMs, evidence, m_offset});
     const auto &members = state->active->members;
     const bool running = std::any_of(members.begin(), members.end(),
                                      [](const member_state &one) { return !one.end; });
--- a/src/batch/log_follower.cpp
+++ b/src/batch/log_follower.cpp
@@ -1,6 +1,8 @@
 /// @file Implementation of log_follower.
 #include "hyssoppond/batch/log_follower_base.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace hyssoppond::batch {
@@ -46,6 +48,12 @@
         tick();
 }
 
+std::string toString(const load_summary &load)
+{
+    return absl::StrCat(load.pages, " pages, end ", load.firstEnd, " to ", load.lastEnd, ", ",
+                        load.newerRecords, " newer records");
+}
+
 void log_follower::load()
 {
     m_inFlight = true;
@@ -69,8 +77,12 @@
         return;
     }
     m_useFreshConnection = false;
-    if (m_afterKey.empty())
+    if (m_afterKey.empty()) {
         m_loadEnd = answer.end;
+        m_lastLoad = {answer.end, answer.end, 0, 0};
+    }
+    m_lastLoad.lastEnd = answer.end;
+    ++m_lastLoad.pages;
     if (!answer.records.empty())
         m_afterKey = answer.records.back().key;
     m_loadedRecords.insert(m_loadedRecords.end(), std::make_move_iterator(answer.records.begin()),
@@ -82,8 +94,9 @@
     m_afterKey.clear();
     // The pages are not a snapshot. Records after the end that the first page reported are left out
     // and read again below, so that each record is handed over once.
-    std::erase_if(m_loadedRecords,
-                  [this](const stored_record &record) { return record.offset >= m_loadEnd; });
+    m_lastLoad.newerRecords = std::erase_if(m_loadedRecords, [this](const stored_record &record) {
+        return record.offset >= m_loadEnd;
+    });
     std::sort(m_loadedRecords.begin(), m_loadedRecords.end(),
               [](const stored_record &a, const stored_record &b) { return a.offset < b.offset; });
     m_position = m_loadEnd;
--- a/src/loop/event_loop.cpp
+++ b/src/loop/event_loop.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <ctime>
 #include <stdexcept>
 
 #include <sys/epoll.h>
@@ -40,6 +41,15 @@
         + absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
 }
 
+absl::Duration event_loop::suspendedTime()
+{
+    timespec monotonic {};
+    timespec boot {};
+    clock_gettime(CLOCK_MONOTONIC, &monotonic);
+    clock_gettime(CLOCK_BOOTTIME, &boot);
+    return absl::DurationFromTimespec(boot) - absl::DurationFromTimespec(monotonic);
+}
+
 absl::Time event_loop::wallNow()
 {
     return absl::FromChrono(std::chrono::system_clock::now());
