No run is declared lost while a reinstatement may still be written

What callers saw: two runs of one item are possible: an agent that was reinstated goes on with its runs, or starts them, while the decider gives them away.

Cause: the decider waited 5 s for the outcome of an eviction or a reinstatement. After that it took a reinstatement of unknown outcome for one that was not written, and declared the runs lost, although the writer goes on sending both in this order.

Evidence: on the code before, noRunIsDeclaredLostWhileAReinstatementMayStillBeWritten fails: 'agent reinstated' at 21.3 s (offset 12), 'run given away' at 26.9 s, at offsets 13 and 14, directly behind the reinstatement.

Change: both records are written without a deadline, as plans are. Until the outcome is known nothing else is decided about the agent.

Result: the test passes; batch_test passes.

--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -95,6 +95,9 @@
     void readHeartbeats();
     void onHeartbeats(const read_answer &answer);
     void watchAgents();
+    /// Records that `agent` is evicted or reinstated. Until the outcome is known, nothing else is
+    /// decided about the agent.
+    void recordEviction(const process_id &agent, const batch_record &record);
     void declareRunsLost(const process_id &agent);
     plan_input planInput() const;
     void plan();
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -41,8 +41,7 @@
 /// Number of random low bits of an epoch. They keep the epochs of two concurrent grants apart.
 constexpr unsigned EpochRandomBits = 10;
 
-/// Timeout for recording a grant or an eviction. One that is not in the journal by then is decided
-/// again later.
+/// Timeout for recording a grant. If it is not in the journal by then, the entry steps down.
 constexpr absl::Duration RecordTimeout = absl::Seconds(5);
 
 } // namespace
@@ -264,23 +263,14 @@
         const absl::Duration silent = now - watch.silentSince;
         const bool holdsRuns = !m_state->runsOn(agent).empty();
         if (!evicted && holdsRuns && silent >= EvictAfter && !watch.evictionQueued) {
-            watch.evictionQueued = true;
             const batch_record eviction = agent_evicted {agent, true};
             logRecord(eviction, absl::StrCat("no heartbeat for ", absl::FormatDuration(silent)));
-            m_writer->write({{keyOf(eviction), encodeRecord(eviction), 0}}, now + RecordTimeout,
-                            [this, agent = agent](write_result, std::uint64_t) {
-                                m_watches[agent].evictionQueued = false;
-                            });
+            recordEviction(agent, eviction);
         } else if (evicted && now - watch.recentHeartbeatAt < SilentAfter
                    && watch.recentHeartbeatAt > evictionReadAt && !watch.evictionQueued) {
-            watch.evictionQueued = true;
             const batch_record reinstatement = agent_evicted {agent, false};
             logRecord(reinstatement, "heartbeats received again");
-            m_writer->write({{keyOf(reinstatement), encodeRecord(reinstatement), 0}},
-                            now + RecordTimeout,
-                            [this, agent = agent](write_result, std::uint64_t) {
-                                m_watches[agent].evictionQueued = false;
-                            });
+            recordEviction(agent, reinstatement);
         } else if (evicted && holdsRuns && now >= runsLostAt(evictionReadAt)
                    && !watch.evictionQueued) {
             declareRunsLost(agent);
@@ -288,6 +278,16 @@
     }
 }
 
+void batch_decider::recordEviction(const process_id &agent, const batch_record &record)
+{
+    m_watches[agent].evictionQueued = true;
+    // Without a deadline: a reinstatement whose outcome is unknown may still be appended, and runs
+    // must not be declared lost behind it.
+    m_writer->write(
+        {{keyOf(record), encodeRecord(record), 0}}, absl::InfiniteFuture(),
+        [this, agent](write_result, std::uint64_t) { m_watches[agent].evictionQueued = false; });
+}
+
 void batch_decider::onEviction(const agent_evicted &record)
 {
     if (record.evicted)
--- a/src/fakes/fake_store.cpp
+++ b/src/fakes/fake_store.cpp
@@ -171,6 +171,10 @@
                           done({store_outcome::Unknown, 0});
                   });
               };
+        if (fault.silentAppends) {
+            answerUnknownAtDeadline();
+            return;
+        }
         if (m_clock->uniform() < fault.executeLate) {
             m_clock->after(absl::Seconds(1 + 5 * m_clock->uniform()),
                            [this, request] { apply(request); });
@@ -183,16 +187,22 @@
         else
             answerLater(done, answer);
     };
-    port.read
-        = [this, blockedByFault, answerLater](const batch::read_request &request,
-                                              const std::function<void(batch::read_answer)> &done) {
-              if (blockedByFault(done, batch::read_answer {}, request.deadline))
-                  return;
-              waitForRecord(request, m_clock->now() + request.wait,
-                            [answerLater, done](const batch::read_answer &answer) {
-                                answerLater(done, answer);
-                            });
-          };
+    port.read = [this, client, clientAlive, blockedByFault,
+                 answerLater](const batch::read_request &request,
+                              const std::function<void(batch::read_answer)> &done) {
+        if (blockedByFault(done, batch::read_answer {}, request.deadline))
+            return;
+        if (faults[client].silentReadsOf == request.topic) {
+            m_clock->at(request.deadline, [clientAlive, done] {
+                if (*clientAlive)
+                    done({});
+            });
+            return;
+        }
+        waitForRecord(
+            request, m_clock->now() + request.wait,
+            [answerLater, done](const batch::read_answer &answer) { answerLater(done, answer); });
+    };
     port.newest = [this, blockedByFault,
                    answerLater](const batch::newest_request &request,
                                 const std::function<void(batch::newest_answer)> &done) {
