The decider watches agents on a state that has its own records

Cause: after a reinstatement was written, the decider decided on the agent again before it had read it. Its state still showed the eviction, and after a short gap in the heartbeats it gave the runs away, though the agent, which had read its reinstatement, may extend leases.

Evidence: on the code before, noRunIsDeclaredLostBeforeTheReinstatementIsRead fails: the agent reads its reinstatement at 21.9 s, 'run given away' follows at 26.1 s.

Change: evictions and reinstatements count as records that have to be read before the next plan, and agents are watched only on a state that has them all.

--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -250,6 +250,8 @@
 
 void batch_decider::watchAgents()
 {
+    if (m_journal->position() < m_recordedTo)
+        return; // the state lacks evictions or reinstatements of this decider
     const absl::Time now = m_hooks.now();
     for (const auto &[agent, announced] : m_state->agents()) {
         const auto [it, added] = m_watches.try_emplace(agent);
@@ -283,9 +285,14 @@
     m_watches[agent].evictionQueued = true;
     // Without a deadline: a reinstatement whose outcome is unknown may still be appended, and runs
     // must not be declared lost behind it.
-    m_writer->write(
-        {{keyOf(record), encodeRecord(record), 0}}, absl::InfiniteFuture(),
-        [this, agent](write_result, std::uint64_t) { m_watches[agent].evictionQueued = false; });
+    m_writer->write({{keyOf(record), encodeRecord(record), 0}}, absl::InfiniteFuture(),
+                    [this, agent, epoch = m_epoch](write_result writeResult, std::uint64_t offset) {
+                        if (epoch != m_epoch || m_phase != phase::Deciding)
+                            return;
+                        m_watches[agent].evictionQueued = false;
+                        if (writeResult == write_result::Written)
+                            m_recordedTo = std::max(m_recordedTo, offset + 1);
+                    });
 }
 
 void batch_decider::onEviction(const agent_evicted &record)
@@ -361,7 +368,7 @@
                             stepDown("a later decider took over");
                             return;
                         }
-                        m_recordedTo = offset + count;
+                        m_recordedTo = std::max(m_recordedTo, offset + count);
                         m_planDue = true;
                         for (const process_id &agent : affectedAgents)
                             wakeProcess(agent);
--- a/tests/batch_eviction_test.cpp
+++ b/tests/batch_eviction_test.cpp
@@ -92,5 +92,24 @@
     expectRunsLostOnlyWhileEvicted(&m_site, m_job);
 }
 
+// Guards against runs that are declared lost after their agent was reinstated: the decider had
+// written the reinstatement but not yet read it, and the agent's heartbeats failed again.
+TEST_F(batch_eviction_test, noRunIsDeclaredLostBeforeTheReinstatementIsRead)
+{
+    cutAgent(true);
+    m_site.clock.runFor(absl::Seconds(10));
+    m_site.store.faults["entry-0"].silentReadsOf = JournalTopic;
+    m_site.clock.runFor(absl::Seconds(3));
+    m_site.store.faults["agent-0"].silent = false;
+    m_site.clock.runFor(absl::Seconds(2));
+    m_site.store.faults["agent-0"].silentAppends = true;
+    m_site.clock.runFor(absl::Seconds(7));
+    m_site.store.faults["entry-0"].silentReadsOf.clear();
+    m_site.store.faults["agent-0"].silentAppends = false;
+    cutAgent(false);
+    m_site.clock.runFor(absl::Seconds(8));
+    expectRunsLostOnlyWhileEvicted(&m_site, m_job);
+}
+
 } // namespace
 } // namespace hyssoppond::batch
