--- a/src/batch/log_follower.cpp
+++ b/src/batch/log_follower.cpp
@@ -186,7 +186,7 @@
             onReachable(true);
     }
     onLoaded(records);
-    follow();
+    tick(); // no effect if the receiver has caused the read
 }
 
 void log_follower::follow()
--- a/tests/batch_load_test.cpp
+++ b/tests/batch_load_test.cpp
@@ -196,6 +196,29 @@
     EXPECT_EQ(topic.loads, 1U);
 }
 
+// Guards against a second long read beside the first one, which costs calls: entries and agents
+// tick the follower while they take over its load.
+TEST(batch_load_test, oneReadIsInFlightAfterTheLoad)
+{
+    virtual_clock clock;
+    fake_store store(&clock);
+    store.put(Topic, "a", "value");
+    store_port port = store.portOf("reader", std::make_shared<bool>(true));
+    int reads = 0;
+    port.read
+        = [&reads, read = port.read](read_request request, std::function<void(read_answer)> done) {
+              ++reads;
+              read(std::move(request), std::move(done));
+          };
+    log_follower follower({Topic}, &port,
+                          {[&clock] { return clock.now(); }, [&clock] { return clock.now(); },
+                           [&clock] { return clock.random(); }});
+    follower.onLoaded = [&follower](const auto &) { follower.tick(); };
+    follower.tick();
+    clock.runFor(absl::Milliseconds(100));
+    EXPECT_EQ(reads, 1);
+}
+
 class batch_load_seed_test : public testing::TestWithParam<std::uint64_t>
 { };
 
