--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -98,6 +98,8 @@
     void leave();
 
     const batch_state &state() const { return m_state; }
+    /// Offset of the next record of the journal; state() holds all earlier ones.
+    std::uint64_t journalPosition() const { return m_journal.position(); }
     const site_config *config() const { return m_config ? &*m_config : nullptr; }
     /// Addresses, as HOST:PORT, at which the other entries take messages.
     std::vector<std::string> peerAddresses() const;
--- a/include/hyssoppond/fakes/fake_store_base.h
+++ b/include/hyssoppond/fakes/fake_store_base.h
@@ -47,6 +47,11 @@
     /// Appends a record without a producer, as an operator does. Returns its offset. An empty value
     /// removes the key from the newest records.
     std::uint64_t put(const std::string &topic, const std::string &key, const std::string &value);
+    /// All records of `topic`, by offset; also those that have expired.
+    const std::vector<batch::stored_record> &recordsOf(const std::string &topic)
+    {
+        return m_topics[topic].records;
+    }
     /// Offset of the next append to `topic`.
     std::uint64_t endOf(const std::string &topic) const;
 
--- a/src/batch/batch_state.cpp
+++ b/src/batch/batch_state.cpp
@@ -103,10 +103,13 @@
 void batch_state::applyRecord(const job_cancelled &record)
 {
     const auto found = m_jobs.find(record.job);
-    if (found == m_jobs.end() || found->second.isOver())
+    if (found == m_jobs.end())
         return;
+    // Also if the job is over: several entries may record a cancellation, and the store keeps the
+    // last one, which may be later than the end of the job.
+    if (!found->second.isOver())
+        ++m_jobsOver;
     found->second.cancelled = true;
-    ++m_jobsOver;
 }
 
 void batch_state::applyRecord(const job_failed &record)
