Ends recorded by two processes of an agent have keys of their own

What callers saw: not reported.

Cause: the end of a run has one key for all processes of its agent. If an earlier process has an append carried out late, its record replaces the end that its successor has recorded. The states that read both take the first one, a load knows only the second.

Evidence, on the code before: lateEndOfAnEarlierProcessStartsNoSecondRun

Change: an agent adds its process to the key of an end. The record stays as it is.

Why it works: one process records one end of a run, so no end replaces another one, and a load applies them in the order in which they were recorded.

Not covered: an end that an earlier process has recorded late for a run that the announcement of another worker incarnation had ended. The store has to refuse the records of earlier processes for that.

--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -182,6 +182,9 @@
 
 /// Key under which the store keeps `record`, at most 255 bytes.
 std::string keyOf(const batch_record &record);
+/// The same for an end that a process of the run's agent records. Each process has keys of its own,
+/// so that no end replaces an earlier one, which was the one to take effect.
+std::string keyOf(const run_ended &ended, incarnation_number agentIncarnation);
 
 /// Encodes a record with version and checksum.
 std::string encodeRecord(const batch_record &record);
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -108,8 +108,7 @@
         const auto found = m_runs.find(id);
         if (found != m_runs.end())
             found->second.state = phase::Reported;
-        const batch_record content = ended;
-        records.push_back({keyOf(content), encodeRecord(content), 0});
+        records.push_back({keyOf(ended, m_options.incarnation), encodeRecord(ended), 0});
     }
     ++m_reportsInFlight;
     m_writer.write(std::move(records), absl::InfiniteFuture(),
--- a/src/batch/batch_record.cpp
+++ b/src/batch/batch_record.cpp
@@ -67,6 +67,11 @@
     return std::visit(key_of_record {}, record);
 }
 
+std::string keyOf(const run_ended &ended, incarnation_number agentIncarnation)
+{
+    return absl::StrCat(key_of_record {}(ended), ":", agentIncarnation);
+}
+
 std::string encodeRecord(const batch_record &record)
 {
     return encodeChecksummed(BatchRecordVersion, record);
--- a/tests/batch_load_test.cpp
+++ b/tests/batch_load_test.cpp
@@ -302,5 +302,26 @@
     EXPECT_EQ(site.history.starts, 2U);
 }
 
+// Guards against a second run after the end of the first one: the store carries out the append of
+// an earlier process of the agent late, and an entry that loads the journal finds only that record.
+TEST(batch_load_test, lateEndOfAnEarlierProcessStartsNoSecondRun)
+{
+    batch_site site(1, 1, 2);
+    site.clock.runFor(absl::Seconds(5));
+    const std::string id = batch_site::idOf(1);
+    site.submit("entry-1", id, "normal", batch_site::stepOf(1, 1, false));
+    site.clock.runFor(absl::Seconds(4));
+    ASSERT_EQ(site.history.done, 1U);
+    constexpr incarnation_number EarlierProcess = 0;
+    const run_ended late {{job_id(id), 0, 0, 0}, 1,  0,    process_id("agent-0"),
+                          run_end::NotStarted,   "", false};
+    site.store.put(JournalTopic, keyOf(late, EarlierProcess), encodeRecord(late));
+    site.startEntry("entry"); // the first name is preferred as the decider
+    site.clock.runFor(absl::Seconds(6));
+    EXPECT_EQ(deciderOf(site), "entry");
+    EXPECT_THAT(site.history.breaches, IsEmpty()) << site.decisionsAbout(id);
+    EXPECT_EQ(site.history.starts, 1U);
+}
+
 } // namespace
 } // namespace hyssoppond::batch
--- a/tests/batch_state_load_test.cpp
+++ b/tests/batch_state_load_test.cpp
@@ -92,6 +92,8 @@
             changeEviction();
         else if (action < 92)
             declareLost();
+        else if (action < 94)
+            endRunAgain();
         else if (action < 97)
             endJob();
         else
@@ -212,8 +214,29 @@
         const run_end how = m_clock->uniform() < 0.5
             ? run_end::Done
             : static_cast<run_end>(m_clock->random() % static_cast<std::uint64_t>(run_end::Lost));
-        write(run_ended {member.unit, member.run, member.member.index, member.member.agent, how, "",
-                         false});
+        writeEnd(member, how);
+        m_ended.push_back(member);
+    }
+
+    /// Another process of the agent records an end of a run that has one, for example because the
+    /// store carries out an append of an earlier process late.
+    void endRunAgain()
+    {
+        if (m_ended.empty())
+            return;
+        const open_member &member = *pick(m_ended);
+        const auto how
+            = static_cast<run_end>(m_clock->random() % static_cast<std::uint64_t>(run_end::Lost));
+        writeEnd(member, how);
+    }
+
+    /// Writes an end as a process of the agent that has recorded none of this run yet.
+    void writeEnd(const open_member &member, run_end how)
+    {
+        const run_ended ended {
+            member.unit, member.run, member.member.index, member.member.agent, how, "", false};
+        m_store->put(JournalTopic, keyOf(ended, ++m_epoch), encodeRecord(ended));
+        readOwn();
     }
 
     void stopRun()
@@ -287,6 +310,7 @@
     std::vector<process_id> m_agents;
     std::map<process_id, unix_ms> m_startMs; ///< of the announced worker; 0: none
     std::map<process_id, unix_ms> m_previousStartMs;
+    std::vector<open_member> m_ended;
     unix_ms m_lastStartMs = 1'000;
     epoch_number m_epoch = 0;
 };
