An agent knows the ends that it recorded during a load

What callers saw: not reported. An agent starts an item again whose run has ended as Done, and then records that it did not start, which replaces the end in the store.

An end that it recorded while the load was under way can be later than the load, so the order of its run counted as open until the next read. The worker refuses the starts; after four of them the agent records NotStarted under the key of the first end.

Evidence, on the code before: endRecordedDuringTheLoadIsKnownAfterIt, 2 ends instead of 1

Change: the agent keeps the ends that it recorded until it has read them.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -97,6 +97,8 @@
     void applyRecord(const stored_record &stored, bool stale);
     void onOrdered(const run_ordered &ordered, bool stale);
     void markEnded(const item_run &run);
+    /// Forgets the unread ends that were handed over since.
+    void pruneUnreadEnds();
     void markUnwanted(const job_id &job);
     void recordSession();
     void announce();
@@ -152,7 +154,10 @@
     std::uint64_t m_heartbeats = 0;
 
     std::map<item_run, local_run> m_runs;
-    std::set<item_run> m_endedRuns;  ///< with a record of their end in the journal
+    std::set<item_run> m_endedRuns; ///< with a record of their end in the journal
+    /// Offsets of the ends that this process recorded and has not read yet. A load that began
+    /// earlier lacks them.
+    std::map<item_run, std::uint64_t> m_unreadEnds;
     std::set<item_run> m_voidedRuns; ///< ordered for an earlier incarnation of the worker
     std::set<job_id> m_endedJobs;    ///< cancelled or failed
     std::map<process_id, std::string> m_entryAddresses;
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -238,6 +238,9 @@
     m_evicted = false;
     std::map<item_run, local_run> previousRuns;
     previousRuns.swap(m_runs);
+    pruneUnreadEnds();
+    for (const auto &[id, offset] : m_unreadEnds)
+        m_endedRuns.insert(id);
     // Orders are rebuilt from the journal; the known state of their runs is kept.
     for (const stored_record &storedRecord : records)
         applyRecord(storedRecord, true);
@@ -258,6 +261,7 @@
 void batch_agent::onRecords(const std::vector<stored_record> &records)
 {
     const bool stale = m_hooks.now() - m_follower.previousCurrentAsOf() > MaxOrderAge;
+    pruneUnreadEnds();
     for (const stored_record &storedRecord : records)
         applyRecord(storedRecord, stale);
     tick();
@@ -333,6 +337,12 @@
     m_runs.erase(run);
 }
 
+void batch_agent::pruneUnreadEnds()
+{
+    std::erase_if(m_unreadEnds,
+                  [this](const auto &entry) { return entry.second < m_follower.position(); });
+}
+
 void batch_agent::markUnwanted(const job_id &job)
 {
     m_endedJobs.insert(job);
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -119,8 +119,8 @@
                            return; // only another process with the same producer name can fence
                        for (const run_ended &ended : ends) {
                            const item_run id {ended.unit, ended.member, ended.run};
-                           logDecision("end recorded", nameOf(id),
-                                       absl::StrCat("offset ", offset++));
+                           logDecision("end recorded", nameOf(id), absl::StrCat("offset ", offset));
+                           m_unreadEnds[id] = offset++;
                            markEnded(id);
                        }
                        if (workerIncarnation == m_workerIncarnation)
--- a/tests/batch_load_test.cpp
+++ b/tests/batch_load_test.cpp
@@ -7,6 +7,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace hyssoppond::batch {
@@ -323,5 +324,58 @@
     EXPECT_EQ(site.history.starts, 1U);
 }
 
+// Guards against an end that its agent replaces in the store, which starts the item again: the
+// agent records the end of a run while it loads the journal, and the load is older than that
+// record.
+TEST(batch_load_test, endRecordedDuringTheLoadIsKnownAfterIt)
+{
+    batch_site site(1, 1, 1);
+    site.datagramLoss = 1.0;
+    site.workers.at("agent-0")->itemTime = absl::Seconds(4);
+    site.clock.runFor(absl::Seconds(5));
+    const std::string id = batch_site::idOf(1);
+    site.submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+    site.clock.runFor(absl::Seconds(1));
+    ASSERT_EQ(site.workers.at("agent-0")->running(), 1U);
+
+    // The records that the agent would have to read next expire.
+    store_faults &fault = site.store.faults["agent-0"];
+    fault.silent = true;
+    site.store.keptRecords = 5;
+    for (int i = 0; i < 20; ++i) {
+        const batch_record other = process_started {process_id("other"), 1, false, ""};
+        site.store.put(JournalTopic, keyOf(other), encodeRecord(other));
+        site.clock.runFor(absl::Milliseconds(50));
+    }
+    // The answer to the page takes until after the end of the run.
+    constexpr absl::Duration PageDelay = absl::Seconds(4);
+    store_port &direct = site.agents.at("agent-0")->direct;
+    bool pageServed = false;
+    direct.newest = [&, newest = direct.newest](newest_request request, auto done) {
+        request.deadline = absl::InfiniteFuture();
+        newest(request, [&, done](const newest_answer &answer) {
+            pageServed = true;
+            site.clock.after(PageDelay, [done, answer] { done(answer); });
+        });
+    };
+    fault.silent = false;
+    const auto recordedEnds = [&site] {
+        const std::vector<stored_record> &records = site.store.recordsOf(JournalTopic);
+        return std::count_if(records.begin(), records.end(), [](const stored_record &record) {
+            return record.key.starts_with("e:");
+        });
+    };
+    for (int i = 0; i < 1'000 && recordedEnds() == 0; ++i)
+        site.clock.runFor(absl::Milliseconds(10));
+    ASSERT_TRUE(pageServed);
+    // The store is silent again while the load is handed over.
+    fault.silent = true;
+    site.clock.runFor(PageDelay + absl::Seconds(1));
+    fault.silent = false;
+    site.clock.runFor(absl::Seconds(5));
+    EXPECT_EQ(recordedEnds(), 1) << site.decisionsAbout(id);
+    EXPECT_EQ(site.history.starts, 1U);
+}
+
 } // namespace
 } // namespace hyssoppond::batch
