A follower reads on at once until the end of the log

What callers saw: not reported.

Cause: after each read with records the follower pauses, for an agent 500 ms, to collect new ones, also if the read did not reach the end of the log. A relayed read holds at most 16 KiB, so such an agent reads no more than 32 KiB/s.

Change: the pause applies only after a read that reached the end.

--- a/src/batch/log_follower.cpp
+++ b/src/batch/log_follower.cpp
@@ -219,7 +219,9 @@
     // An empty answer to a long read was given when its wait had passed.
     const bool waitElapsed
         = m_failures == 0 && nothingNew && m_hooks.now() - sentAt >= m_options.wait;
-    if (answer.records.empty() || answer.records.back().offset + 1 >= answer.end)
+    const bool reachedEnd
+        = answer.records.empty() || answer.records.back().offset + 1 >= answer.end;
+    if (reachedEnd)
         m_currentAsOf = std::max(m_currentAsOf, waitElapsed ? sentAt + m_options.wait : sentAt);
     m_currentAsOf = std::min(m_currentAsOf, m_hooks.now());
     m_useFreshConnection = false;
@@ -233,7 +235,7 @@
     // The store does not wait for records in a topic that was never written to.
     if (nothingNew && !waitElapsed)
         m_retryAt = m_hooks.now() + EmptyTopicPause;
-    else if (!nothingNew)
+    else if (!nothingNew && reachedEnd)
         m_retryAt = m_hooks.now() + m_minReadInterval;
     deliver(answer.records, answer.end);
     if (!m_inFlight && isLoaded() && m_hooks.now() >= m_retryAt)
--- a/tests/batch_load_test.cpp
+++ b/tests/batch_load_test.cpp
@@ -220,6 +220,22 @@
     EXPECT_EQ(reads, 1);
 }
 
+// Guards against an agent that falls behind, so that its leases lapse: a read that does not reach
+// the end of the log, as it is limited or came through a peer, was followed by the pause that
+// collects new records.
+TEST(batch_load_test, readsWithoutAPauseUntilTheEndOfTheLog)
+{
+    followed_topic topic;
+    topic.store.recordsPerRead = 2;
+    topic.follower.setMinReadInterval(absl::Milliseconds(500));
+    topic.clock.runFor(absl::Milliseconds(50));
+    for (int i = 0; i < 20; ++i)
+        topic.put("a");
+    topic.clock.runFor(absl::Milliseconds(200));
+    EXPECT_EQ(topic.follower.position(), 20U);
+    EXPECT_EQ(topic.problem, "");
+}
+
 class batch_load_seed_test : public testing::TestWithParam<std::uint64_t>
 { };
 
