Play loads in slow pages on whole sites

Each job has to be completed, and no item may run twice. docs/platform.md names the keys that are written again.

--- a/tests/batch_load_test.cpp
+++ b/tests/batch_load_test.cpp
@@ -393,5 +393,72 @@
     EXPECT_EQ(site.history.starts, 1U);
 }
 
+class batch_site_load_test : public testing::TestWithParam<std::uint64_t>
+{ };
+
+// Guards against a second run, and against a job that never ends, when entries and agents start all
+// the time and load the journal in many slow pages, while submissions are recorded again.
+TEST_P(batch_site_load_test, slowLoadsStartNoSecondRun)
+{
+    batch_site site(GetParam(), 4, 3);
+    virtual_clock &clock = site.clock;
+    for (auto &[name, worker] : site.workers)
+        worker->itemTime = absl::Seconds(1 + 6 * clock.uniform());
+    clock.runFor(absl::Seconds(5));
+    site.store.recordsPerPage = 1 + clock.random() % 8;
+    site.store.recordsPerRead = 3 + clock.random() % 20;
+    const auto repeatSubmission = [&site, &clock] {
+        if (site.entries.empty())
+            return;
+        const auto &jobs = site.entries.begin()->second->node->state().jobs();
+        if (jobs.empty())
+            return;
+        const auto job
+            = std::next(jobs.begin(), static_cast<std::ptrdiff_t>(clock.random() % jobs.size()));
+        const batch_record record = job_submitted {job->second.job};
+        site.store.put(JournalTopic, keyOf(record), encodeRecord(record));
+    };
+    std::vector<std::string> ids;
+    constexpr int Steps = 30;
+    for (int i = 0; i < Steps; ++i) {
+        ids.push_back(batch_site::idOf(1'000 + static_cast<std::uint64_t>(i)));
+        const std::string entry = absl::StrCat("entry-", clock.random() % 3);
+        const std::string agent = absl::StrCat("agent-", clock.random() % 4);
+        site.submit(entry, ids.back(), "normal",
+                    batch_site::stepOf(1 + clock.random() % 4, 1 + clock.random() % 6,
+                                       clock.uniform() < 0.6));
+        if (clock.uniform() < 0.5) {
+            site.kill(entry);
+            site.store.faults[entry].answerDelay = absl::Milliseconds(4 + clock.random() % 20);
+            site.startEntry(entry);
+        }
+        if (clock.uniform() < 0.2) {
+            site.kill(agent);
+            site.startAgent(agent);
+        }
+        if (clock.uniform() < 0.1)
+            site.workers.at(agent)->restart();
+        for (int n = 0; n < 10; ++n) {
+            repeatSubmission();
+            clock.runFor(absl::Milliseconds(clock.random() % 200));
+        }
+    }
+    for (auto &[name, fault] : site.store.faults)
+        fault = {};
+    clock.runFor(absl::Seconds(90));
+    for (const std::string &breach : site.history.breaches)
+        ADD_FAILURE() << breach << "\n" << site.decisionsAbout(breach.substr(0, breach.find(' ')));
+    const batch_state &state = site.entries.begin()->second->node->state();
+    for (const std::string &id : ids) {
+        const job_state *job = state.find(job_id(id));
+        if (job == nullptr)
+            continue; // its submission was refused, or its entry was killed
+        EXPECT_EQ(job->status(), job_status::Completed) << site.decisionsAbout(id);
+    }
+    EXPECT_GT(site.history.done, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, batch_site_load_test, testing::Range<std::uint64_t>(1, 41));
+
 } // namespace
 } // namespace hyssoppond::batch
