Count the time during which a machine is suspended

Cause: event_loop::steadyNow() read std::chrono::steady_clock (CLOCK_MONOTONIC), which stands still while a machine is suspended.

Fix: the clock of the loop, and with it that of all state machines of src/batch, is CLOCK_BOOTTIME. Waits in the kernel do not count suspended time, so a timer may fire later than due by the rest of the wait that was under way, never early.

--- a/include/hyssoppond/batch/store_port.h
+++ b/include/hyssoppond/batch/store_port.h
@@ -116,7 +116,8 @@
 /// Clocks and random numbers of a state machine, so that tests can replace them.
 struct loop_hooks
 {
-    std::function<absl::Time()> now;     ///< steady clock
+    /// Steady clock that also counts the time during which the machine is suspended.
+    std::function<absl::Time()> now;
     std::function<absl::Time()> wallNow; ///< time of day
     std::function<std::uint64_t()> random;
 };
--- a/include/hyssoppond/loop/event_loop_base.h
+++ b/include/hyssoppond/loop/event_loop_base.h
@@ -27,10 +27,11 @@
     event_loop(const event_loop &) = delete;
     event_loop &operator=(const event_loop &) = delete;
 
-    /// Time on the steady clock; comparable only within this process.
+    /// Time on the steady clock; comparable only within this process. It counts the time during
+    /// which the machine is suspended, because other machines rely on leases measured with it.
+    /// std::chrono::steady_clock stands still meanwhile.
     static absl::Time steadyNow();
-    /// Time since boot during which the machine was suspended, which the steady clock does not
-    /// count.
+    /// Time since boot during which the machine was suspended.
     static absl::Duration suspendedTime();
     /// Time of day by the operating system's clock. absl::Now() interpolates with the processor's
     /// cycle counter, which runs at another rate where a machine is throttled or suspended.
--- a/src/loop/event_loop.cpp
+++ b/src/loop/event_loop.cpp
@@ -37,8 +37,9 @@
 
 absl::Time event_loop::steadyNow()
 {
-    return absl::UnixEpoch()
-        + absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
+    timespec now {};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return absl::TimeFromTimespec(now);
 }
 
 absl::Duration event_loop::suspendedTime()
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -18,6 +18,19 @@
 
 namespace hyssoppond::batch {
 
+/// What the clock of a process does while its machine is suspended.
+enum class suspended_clock : std::uint8_t {
+    StandsStill, ///< as CLOCK_MONOTONIC
+    GoesOn,      ///< as CLOCK_BOOTTIME
+};
+
+/// Suspension of the machine of one process.
+struct machine_suspension
+{
+    absl::Time until = absl::InfinitePast();
+    absl::Duration uncounted; ///< suspended time that the clock of the process does not show
+};
+
 /// Runs the production state machines in the way of the daemon's loop.
 class batch_site
 {
@@ -62,7 +75,8 @@
         options.incarnation = ++m_incarnations;
         options.wakeAddress = name;
         options.configTopic = "op";
-        siteProcess->node = std::make_unique<batch_entry>(options, &siteProcess->port, makeHooks());
+        siteProcess->node = std::make_unique<batch_entry>(options, &siteProcess->port,
+                                                          makeHooks(siteProcess->suspension));
         siteProcess->node->sendWake = siteProcess->relay->send;
         siteProcess->relay->peers
             = [node = siteProcess->node.get()] { return node->peerAddresses(); };
@@ -76,13 +90,14 @@
     {
         auto siteProcess = std::make_shared<agent_process>();
         connect(name, siteProcess.get());
-        siteProcess->worker = workers.at(name)->portTo(siteProcess->alive);
+        siteProcess->worker
+            = suspendable(workers.at(name)->portTo(siteProcess->alive), siteProcess.get());
         batch_agent_options options;
         options.agent = process_id(name);
         options.incarnation = ++m_incarnations;
         options.wakeAddress = name;
-        siteProcess->node = std::make_unique<batch_agent>(options, &siteProcess->port,
-                                                          &siteProcess->worker, makeHooks());
+        siteProcess->node = std::make_unique<batch_agent>(
+            options, &siteProcess->port, &siteProcess->worker, makeHooks(siteProcess->suspension));
         siteProcess->relay->peers
             = [node = siteProcess->node.get()] { return node->entryAddresses(); };
         siteProcess->node->onDecision = recordDecisionsOf(name);
@@ -102,6 +117,17 @@
         }
     }
 
+    /// Suspends the machine of the process `name`. The process does nothing for `duration`, and
+    /// what arrives for it waits in its sockets. The worker of an agent goes on.
+    void suspend(const std::string &name, absl::Duration duration, suspended_clock processClock)
+    {
+        machine_suspension &suspension
+            = agents.contains(name) ? *agents.at(name)->suspension : *entries.at(name)->suspension;
+        suspension.until = clock.now() + duration;
+        if (processClock == suspended_clock::StandsStill)
+            suspension.uncounted += duration;
+    }
+
     /// Submits to the entry `name` and returns the reply, which may come later.
     std::shared_ptr<job_reply> submit(const std::string &name, const std::string &id,
                                       const std::string &queue, const batch_step &step)
@@ -160,6 +186,7 @@
     struct entry_process
     {
         std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+        std::shared_ptr<machine_suspension> suspension = std::make_shared<machine_suspension>();
         store_port direct;
         std::unique_ptr<store_relay> relay;
         store_port port;
@@ -169,6 +196,7 @@
     struct agent_process
     {
         std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+        std::shared_ptr<machine_suspension> suspension = std::make_shared<machine_suspension>();
         store_port direct;
         std::unique_ptr<store_relay> relay;
         store_port port;
@@ -193,8 +221,9 @@
     template<class process>
     void connect(const std::string &name, process *siteProcess)
     {
-        siteProcess->direct = store.portOf(name, siteProcess->alive);
-        siteProcess->relay = std::make_unique<store_relay>(name, &siteProcess->direct, makeHooks());
+        siteProcess->direct = suspendable(store.portOf(name, siteProcess->alive), siteProcess);
+        siteProcess->relay = std::make_unique<store_relay>(name, &siteProcess->direct,
+                                                           makeHooks(siteProcess->suspension));
         siteProcess->relay->send = [this](const std::string &address, const std::string &message) {
             if (clock.uniform() >= datagramLoss)
                 clock.after(DatagramDelay, [this, address, message] { deliver(address, message); });
@@ -202,20 +231,72 @@
         siteProcess->port = siteProcess->relay->port();
     }
 
+    /// Runs `action` of a process, after its suspension if it is suspended, unless it was killed.
+    void whenAwake(const std::shared_ptr<machine_suspension> &suspension,
+                   const std::shared_ptr<bool> &alive, const std::function<void()> &action)
+    {
+        if (clock.now() < suspension->until)
+            clock.at(suspension->until,
+                     [this, suspension, alive, action] { whenAwake(suspension, alive, action); });
+        else if (*alive)
+            action();
+    }
+
+    /// Function of a port whose answers wait until the process is not suspended.
+    template<class request, class answer, class process>
+    std::function<void(request, std::function<void(answer)>)> suspendable(
+        const std::function<void(request, std::function<void(answer)>)> &send,
+        const process *siteProcess)
+    {
+        return [this, send, suspension = siteProcess->suspension,
+                alive = siteProcess->alive](request call, const std::function<void(answer)> &done) {
+            call.deadline += suspension->uncounted;
+            send(std::move(call), [this, suspension, alive, done](const answer &result) {
+                whenAwake(suspension, alive, [done, result] { done(result); });
+            });
+        };
+    }
+
+    template<class process>
+    store_port suspendable(store_port port, const process *siteProcess)
+    {
+        port.append = suspendable(port.append, siteProcess);
+        port.read = suspendable(port.read, siteProcess);
+        port.newest = suspendable(port.newest, siteProcess);
+        port.join = suspendable(port.join, siteProcess);
+        return port;
+    }
+
+    template<class process>
+    item_worker_port suspendable(item_worker_port port, const process *siteProcess)
+    {
+        port.start = suspendable(port.start, siteProcess);
+        port.stop = suspendable(port.stop, siteProcess);
+        port.poll = suspendable(port.poll, siteProcess);
+        return port;
+    }
+
     void deliver(const std::string &name, const std::string &content)
     {
-        const result<peer_message> message = decodePeerMessage(content);
-        const auto receive = [&message](auto &siteProcess) {
-            siteProcess.relay->receive(*message);
+        if (const auto entry = entries.find(name); entry != entries.end())
+            deliverTo(entry->second, content);
+        else if (const auto agent = agents.find(name); agent != agents.end())
+            deliverTo(agent->second, content);
+    }
+
+    template<class process>
+    void deliverTo(const std::shared_ptr<process> &siteProcess, const std::string &content)
+    {
+        whenAwake(siteProcess->suspension, siteProcess->alive, [siteProcess, content] {
+            const result<peer_message> message = decodePeerMessage(content);
+            if (!message)
+                return;
+            siteProcess->relay->receive(*message);
             if (const auto *woken = std::get_if<wake_message>(&*message)) {
-                siteProcess.relay->expectRecords(JournalTopic, woken->end);
-                siteProcess.node->onWake();
+                siteProcess->relay->expectRecords(JournalTopic, woken->end);
+                siteProcess->node->onWake();
             }
-        };
-        if (const auto entry = entries.find(name); message && entry != entries.end())
-            receive(*entry->second);
-        else if (const auto agent = agents.find(name); message && agent != agents.end())
-            receive(*agent->second);
+        });
     }
 
     /// Interval between two ticks. The daemon's loop ticks at deadlines and after each event
@@ -224,10 +305,10 @@
     static constexpr absl::Duration DatagramDelay = absl::Milliseconds(3);
     static constexpr absl::Duration HeartbeatInterval = absl::Milliseconds(1500);
 
-    loop_hooks makeHooks()
+    loop_hooks makeHooks(const std::shared_ptr<machine_suspension> &suspension)
     {
-        return {[this] { return clock.now(); }, [this] { return clock.now(); },
-                [this] { return clock.random(); }};
+        return {[this, suspension] { return clock.now() - suspension->uncounted; },
+                [this] { return clock.now(); }, [this] { return clock.random(); }};
     }
 
     void addWorker(std::size_t number)
@@ -248,9 +329,11 @@
     template<class process>
     void drive(const std::shared_ptr<process> &siteProcess)
     {
-        clock.every(TickInterval, [siteProcess] {
+        clock.every(TickInterval, [this, siteProcess] {
             if (!*siteProcess->alive)
                 return false;
+            if (clock.now() < siteProcess->suspension->until)
+                return true;
             siteProcess->relay->tick();
             siteProcess->node->tick();
             return true;
@@ -263,7 +346,8 @@
         clock.every(HeartbeatInterval, [this, name, siteProcess] {
             if (!*siteProcess->alive)
                 return false;
-            if (!workers.at(name)->faults.unreachable)
+            const bool suspended = clock.now() < siteProcess->suspension->until;
+            if (!workers.at(name)->faults.unreachable && !suspended)
                 siteProcess->node->onHeartbeat(workers.at(name)->description());
             return true;
         });
--- a/tests/loop_test.cpp
+++ b/tests/loop_test.cpp
@@ -7,8 +7,30 @@
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
+#include <chrono>
+#include <ctime>
+
+namespace {
+
+/// Time for which the machine of the test seems to have been suspended.
+absl::Duration simulatedSuspension;
+
+} // namespace
+
+/// Replaces the function of the C library in this program, as a test cannot suspend its machine. Of
+/// the clocks that start at boot only CLOCK_BOOTTIME counts suspended time.
+extern "C" int clock_gettime(clockid_t clock, timespec *time) noexcept
+{
+    if (syscall(SYS_clock_gettime, clock, time) != 0)
+        return -1;
+    if (clock == CLOCK_BOOTTIME)
+        *time = absl::ToTimespec(absl::DurationFromTimespec(*time) + simulatedSuspension);
+    return 0;
+}
+
 namespace hyssoppond {
 namespace {
 
@@ -35,6 +57,23 @@
         m_loop.callAt(event_loop::steadyNow() + absl::Seconds(20), [this] { m_loop.stop(); });
     }
 
+    ~loop_test() override { simulatedSuspension = absl::ZeroDuration(); }
+
+    /// Lets the machine seem to be suspended after `delay`.
+    void suspendAfter(absl::Duration delay, absl::Duration duration)
+    {
+        m_loop.callAt(event_loop::steadyNow() + delay,
+                      [duration] { simulatedSuspension += duration; });
+    }
+
+    /// Runs the loop until it is stopped and returns how long that took, without suspensions.
+    absl::Duration timeToRun()
+    {
+        const auto startedAt = std::chrono::steady_clock::now();
+        m_loop.run();
+        return absl::FromChrono(std::chrono::steady_clock::now() - startedAt);
+    }
+
     std::unique_ptr<http_server> serve(http_server::handler handle)
     {
         m_options.host = "127.0.0.1";
@@ -72,6 +111,34 @@
     EXPECT_EQ(fired, "ab");
 }
 
+// Guards against a clock that stands still while the machine is suspended. Leases and keys then
+// stay valid for too long.
+TEST_F(loop_test, steadyClockCountsSuspendedTime)
+{
+    constexpr absl::Duration Suspension = absl::Seconds(7);
+    const absl::Time before = event_loop::steadyNow();
+    const absl::Duration suspendedBefore = event_loop::suspendedTime();
+    simulatedSuspension += Suspension;
+    EXPECT_GE(event_loop::steadyNow() - before, Suspension);
+    EXPECT_GE(event_loop::suspendedTime() - suspendedBefore, Suspension - absl::Milliseconds(1));
+}
+
+// Guards against timers that, after a suspension, fire as late as if it had not been.
+TEST_F(loop_test, timersFireWhenTheSuspensionInWhichTheyWereDueHasEnded)
+{
+    std::string fired;
+    const absl::Time now = event_loop::steadyNow();
+    m_loop.callAt(now + absl::Seconds(11), [&] {
+        fired += "c";
+        m_loop.stop();
+    });
+    m_loop.callAt(now + absl::Seconds(10), [&] { fired += "b"; });
+    m_loop.callAt(now + absl::Milliseconds(5), [&] { fired += "a"; });
+    suspendAfter(absl::Milliseconds(20), absl::Seconds(12));
+    EXPECT_LT(timeToRun(), absl::Seconds(5));
+    EXPECT_EQ(fired, "abc");
+}
+
 // Guards against an answer that is never sent because the handler gives it after it has returned.
 TEST_F(loop_test, delayedAnswersAreSent)
 {
