End calls whose deadline passed while the machine was suspended

What callers saw: after a suspension, an entry or an agent could wait for as long as before for a call that was in flight, up to 2.7 s for a long read, before it tried again on a new connection.

Cause: curl measures its timeouts with CLOCK_MONOTONIC, which stands still during a suspension, while the deadline of the call goes on.

Evidence: loop_test without the fix: callEndsWhenTheSuspensionInWhichItWasDueHasEnded Expected: (timeToRun()) < (absl::Seconds(5)), actual: 8.005048374s vs 5s Expected: (reply.problem) != (""), actual: "" vs ""

Fix: curl's timer, which the loop keeps, is due after the suspension. After curl has handled it, calls that are past their deadline by more than 50 ms are ended as timed out. Without a suspension curl ends them first.

--- a/include/hyssoppond/loop/http_client_base.h
+++ b/include/hyssoppond/loop/http_client_base.h
@@ -57,6 +57,10 @@
     /// Lets curl handle `events` on `socket`, then completes the finished transfers.
     void socketAction(curl_socket_t socket, int events);
     void completeTransfers();
+    /// Ends the transfers whose deadline has passed. Curl does so by a clock that stands still
+    /// while the machine is suspended.
+    void endOverdueTransfers();
+    void finish(CURL *easy, CURLcode code);
 
     event_loop *m_loop;
     CURLM *m_multi;
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -23,6 +23,9 @@
 /// again after 1 s.
 constexpr std::int64_t MaxConnectTimeoutMs = 1'500;
 
+/// A call that curl has not ended this long after its deadline is ended here.
+constexpr absl::Duration DeadlineTolerance = absl::Milliseconds(50);
+
 std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *body)
 {
     static_cast<std::string *>(body)->append(data, size * count);
@@ -147,9 +150,11 @@
     client->m_loop->cancel(client->m_timer);
     client->m_timer = 0;
     if (timeoutMs >= 0) {
-        client->m_timer
-            = client->m_loop->callAt(event_loop::steadyNow() + absl::Milliseconds(timeoutMs),
-                                     [client] { client->socketAction(CURL_SOCKET_TIMEOUT, 0); });
+        client->m_timer = client->m_loop->callAt(
+            event_loop::steadyNow() + absl::Milliseconds(timeoutMs), [client] {
+                client->socketAction(CURL_SOCKET_TIMEOUT, 0);
+                client->endOverdueTransfers();
+            });
     }
     return 0;
 }
@@ -167,30 +172,45 @@
     while (CURLMsg *message = curl_multi_info_read(m_multi, &queuedMessages)) {
         if (message->msg != CURLMSG_DONE)
             continue;
-        CURL *easy = message->easy_handle;
-        const CURLcode code = message->data.result;
-        const auto found = m_transfers.find(easy);
-        if (found == m_transfers.end())
-            continue;
-        const std::unique_ptr<transfer> current = std::move(found->second);
-        m_transfers.erase(found);
-        if (code == CURLE_OK) {
-            long status = 0;
-            curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-            current->reply.status = static_cast<int>(status);
-        } else {
-            curl_off_t preTransferTime = 0;
-            curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &preTransferTime);
-            current->reply.unsent = preTransferTime == 0;
-            current->reply.problem = curl_easy_strerror(code);
-        }
-        curl_multi_remove_handle(m_multi, easy);
-        if (m_idleHandles.size() < MaxIdleHandles)
-            m_idleHandles.push_back(easy);
-        else
-            curl_easy_cleanup(easy);
-        current->done(std::move(current->reply));
+        finish(message->easy_handle, message->data.result);
+    }
+}
+
+void http_client::endOverdueTransfers()
+{
+    const absl::Time latest = event_loop::steadyNow() - DeadlineTolerance;
+    std::vector<CURL *> overdue;
+    for (const auto &[easy, current] : m_transfers) {
+        if (current->call.deadline < latest)
+            overdue.push_back(easy);
     }
+    for (CURL *easy : overdue)
+        finish(easy, CURLE_OPERATION_TIMEDOUT);
+}
+
+void http_client::finish(CURL *easy, CURLcode code)
+{
+    const auto found = m_transfers.find(easy);
+    if (found == m_transfers.end())
+        return;
+    const std::unique_ptr<transfer> current = std::move(found->second);
+    m_transfers.erase(found);
+    if (code == CURLE_OK) {
+        long status = 0;
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+        current->reply.status = static_cast<int>(status);
+    } else {
+        curl_off_t preTransferTime = 0;
+        curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &preTransferTime);
+        current->reply.unsent = preTransferTime == 0;
+        current->reply.problem = curl_easy_strerror(code);
+    }
+    curl_multi_remove_handle(m_multi, easy);
+    if (m_idleHandles.size() < MaxIdleHandles)
+        m_idleHandles.push_back(easy);
+    else
+        curl_easy_cleanup(easy);
+    current->done(std::move(current->reply));
 }
 
 } // namespace hyssoppond
--- a/tests/loop_test.cpp
+++ b/tests/loop_test.cpp
@@ -204,6 +204,25 @@
     server.reset();
 }
 
+// Guards against a call that holds up its caller after a suspension of the machine, because curl's
+// clock did not count that time.
+TEST_F(loop_test, callEndsWhenTheSuspensionInWhichItWasDueHasEnded)
+{
+    const auto server
+        = serve([](const http_request &, const http_responder &) { /* never answers */ });
+    http_client client(&m_loop);
+    http_reply reply;
+    client.send(makeCall("x"), [&](http_reply answer) {
+        reply = std::move(answer);
+        m_loop.stop();
+    });
+    suspendAfter(absl::Milliseconds(300), absl::Seconds(12));
+    EXPECT_LT(timeToRun(), absl::Seconds(5));
+    EXPECT_EQ(reply.status, 0);
+    EXPECT_FALSE(reply.unsent);
+    EXPECT_NE(reply.problem, "");
+}
+
 // Guards against datagrams, such as wake-up messages, that are not delivered, and against an
 // invalid host that is reported as sent to.
 TEST_F(loop_test, datagramsArrive)
