Confirm a late answer of the store by a read that does not wait

What callers saw: an entry that had been suspended or frozen for seconds refused every call for up to 1.5 s after it was back ("the configuration may be outdated").

Cause: the read in flight is answered at once afterwards, but the answer tells of a time seconds ago. The next read is a long one, which confirms the records only when its wait has passed.

Evidence: batch_suspend_test without the fix: entryServesCallsSoonAfterItsSuspension reply->kind Which is: 1-byte object <08> reply_kind::Status Which is: 1-byte object <01>

Fix: if the records are known only as of a time longer ago than a read in time takes, the next read does not wait, as after a failure.

--- a/src/batch/log_follower.cpp
+++ b/src/batch/log_follower.cpp
@@ -118,9 +118,11 @@
 {
     m_inFlight = true;
     const absl::Time now = m_hooks.now();
-    // After a failure the first read does not wait, so that the records are soon known to be
-    // current.
-    const absl::Duration wait = m_failures == 0 ? m_options.wait : absl::ZeroDuration();
+    // After a failure, or an answer that came late because this process did not run, the first read
+    // does not wait, so that the records are soon known to be current.
+    const bool lateAnswer = now - m_currentAsOf > m_options.wait + m_options.answerTimeout;
+    const absl::Duration wait
+        = m_failures == 0 && !lateAnswer ? m_options.wait : absl::ZeroDuration();
     m_store->read({m_options.topic, m_position, wait, now + wait + m_options.answerTimeout,
                    m_useFreshConnection},
                   [this, now](read_answer answer) { onRead(std::move(answer), now); });
--- a/tests/batch_suspend_test.cpp
+++ b/tests/batch_suspend_test.cpp
@@ -127,14 +127,30 @@
     EXPECT_EQ(callWithARevokedKey(suspended_clock::StandsStill).kind, reply_kind::Status);
 }
 
-// Guards against a decider that evicts agents because it received no heartbeats while it was
-// suspended itself.
+// Guards against an entry that refuses calls for longer than one answer of the store after its
+// suspension, because it waits for a change of the configuration first.
+TEST_F(batch_suspend_test, entryServesCallsSoonAfterItsSuspension)
+{
+    start(1, 2);
+    const std::string id = batch_site::idOf(1);
+    m_site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+    m_site->clock.runFor(absl::Seconds(5));
+    m_site->suspend("entry-0", absl::Seconds(5), suspended_clock::GoesOn);
+    m_site->clock.runFor(absl::Milliseconds(5'100));
+    const auto reply = m_site->call("entry-0", call_kind::Status, "/normal/" + id);
+    m_site->clock.runFor(absl::Milliseconds(100));
+    EXPECT_EQ(reply->kind, reply_kind::Status) << reply->message;
+}
+
+// Guards against a decider that evicts agents, or gives them no work, because it received no
+// heartbeats while it was suspended itself.
 TEST_F(batch_suspend_test, suspendedDeciderEvictsNoAgent)
 {
+    std::uint64_t jobs = 0;
     start(3, 1);
     for (auto &[name, worker] : m_site->workers)
         worker->itemTime = EndlessItemTime;
-    m_site->submit("entry-0", batch_site::idOf(1), "normal", batch_site::stepOf(6, 2, false));
+    m_site->submit("entry-0", batch_site::idOf(++jobs), "normal", batch_site::stepOf(6, 2, false));
     m_site->clock.runFor(absl::Seconds(3));
     ASSERT_EQ(m_site->history.starts, 6U);
     // Reads of the heartbeats are often in flight at the start of a suspension.
@@ -144,6 +160,12 @@
             m_site->suspend("entry-0", absl::Milliseconds(ms), suspended_clock::GoesOn);
             m_site->clock.runFor(absl::Milliseconds(ms + pauseMs));
         }
+        const std::size_t starts = m_site->history.starts;
+        const auto reply = m_site->submit("entry-0", batch_site::idOf(++jobs), "normal",
+                                          batch_site::stepOf(1, 1, false));
+        m_site->clock.runFor(absl::Milliseconds(1'500));
+        EXPECT_EQ(m_site->history.starts, starts + 1) << "after " << ms << " ms\n"
+                                                      << reply->message;
     }
     EXPECT_THAT(m_site->decisionsAbout("agent-"), Not(HasSubstr("agent evicted")));
     EXPECT_THAT(m_site->history.breaches, IsEmpty());
