--- a/include/hyssoppond/batch/peer_message_type.h
+++ b/include/hyssoppond/batch/peer_message_type.h
@@ -67,7 +67,8 @@
     }
 };
 
-/// Answers a relayed_read; may hold fewer records than the store's answer.
+/// Answers a relayed_read; may hold fewer records than the store's answer. It does not tell for how
+/// long the store waited, as the wait of the peer's call is not that of the sender's call.
 struct relayed_read_reply
 {
     std::uint64_t id = 0;
--- a/include/hyssoppond/batch/store_port.h
+++ b/include/hyssoppond/batch/store_port.h
@@ -67,6 +67,9 @@
     std::vector<stored_record> records;
     std::uint64_t end = 0;   ///< offset of the next append
     std::uint64_t first = 0; ///< oldest offset that is kept
+    /// Least time from the start of the call to the moment at which the topic was as this answer
+    /// shows: the wait of the call if the store itself answered after it, otherwise 0.
+    absl::Duration waited = absl::ZeroDuration();
 };
 
 struct newest_request
--- a/src/batch/log_follower.cpp
+++ b/src/batch/log_follower.cpp
@@ -144,9 +144,8 @@
     }
     m_previousCurrentAsOf = m_currentAsOf;
     const bool nothingNew = answer.records.empty() && answer.end <= m_position;
-    // An empty answer to a long read was given when its wait had passed.
     const bool waitElapsed
-        = m_failures == 0 && nothingNew && m_hooks.now() - sentAt >= m_options.wait;
+        = nothingNew && answer.waited >= m_options.wait && m_hooks.now() - sentAt >= m_options.wait;
     if (answer.records.empty() || answer.records.back().offset + 1 >= answer.end)
         m_currentAsOf = std::max(m_currentAsOf, waitElapsed ? sentAt + m_options.wait : sentAt);
     m_currentAsOf = std::min(m_currentAsOf, m_hooks.now());
--- a/src/fakes/fake_store.cpp
+++ b/src/fakes/fake_store.cpp
@@ -83,8 +83,12 @@
                                const std::function<void(batch::read_answer)> &answer)
 {
     batch::read_answer current = readNow(request);
-    if (!current.records.empty() || current.outcome != store_outcome::Ok
-        || m_clock->now() >= until) {
+    const bool waitElapsed = m_clock->now() >= until;
+    // A topic that was never written to is not waited for.
+    if (!current.records.empty() || current.outcome != store_outcome::Ok || waitElapsed
+        || current.end == 0) {
+        if (waitElapsed && current.records.empty())
+            current.waited = request.wait;
         answer(std::move(current));
         return;
     }
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -215,6 +215,8 @@
 
     /// Share of the datagrams between processes that are lost.
     double datagramLoss = 0.001;
+    /// Additional delay of the datagrams to a process.
+    std::map<std::string, absl::Duration> datagramDelays;
 
 private:
     /// Connects a process to the store, directly and through peers.
@@ -225,8 +227,9 @@
         siteProcess->relay = std::make_unique<store_relay>(name, &siteProcess->direct,
                                                            makeHooks(siteProcess->suspension));
         siteProcess->relay->send = [this](const std::string &address, const std::string &message) {
+            const absl::Duration delay = DatagramDelay + datagramDelays[address];
             if (clock.uniform() >= datagramLoss)
-                clock.after(DatagramDelay, [this, address, message] { deliver(address, message); });
+                clock.after(delay, [this, address, message] { deliver(address, message); });
         };
         siteProcess->port = siteProcess->relay->port();
     }
