--- a/include/hyssoppond/batch/store_port.h
+++ b/include/hyssoppond/batch/store_port.h
@@ -67,6 +67,9 @@
     std::vector<stored_record> records;
     std::uint64_t end = 0;   ///< offset of the next append
     std::uint64_t first = 0; ///< oldest offset that is kept
+    /// Least time from the start of the call to the moment at which the topic was as this answer
+    /// shows: the wait of the call if the store itself answered after it, otherwise 0.
+    absl::Duration waited = absl::ZeroDuration();
 };
 
 struct newest_request
@@ -116,7 +119,8 @@
 /// Clocks and random numbers of a state machine, so that tests can replace them.
 struct loop_hooks
 {
-    std::function<absl::Time()> now;     ///< steady clock
+    /// Steady clock that also counts the time during which the machine is suspended.
+    std::function<absl::Time()> now;
     std::function<absl::Time()> wallNow; ///< time of day
     std::function<std::uint64_t()> random;
 };
--- a/src/batch/log_follower.cpp
+++ b/src/batch/log_follower.cpp
@@ -193,9 +193,11 @@
 {
     m_inFlight = true;
     const absl::Time now = m_hooks.now();
-    // After a failure the first read does not wait, so that the records are soon known to be
-    // current.
-    const absl::Duration wait = m_failures == 0 ? m_options.wait : absl::ZeroDuration();
+    // After a failure, or an answer that came late because this process did not run, the first read
+    // does not wait, so that the records are soon known to be current.
+    const bool lateAnswer = now - m_currentAsOf > m_options.wait + m_options.answerTimeout;
+    const absl::Duration wait
+        = m_failures == 0 && !lateAnswer ? m_options.wait : absl::ZeroDuration();
     m_store->read({m_options.topic, m_position, wait, now + wait + m_options.answerTimeout,
                    m_useFreshConnection},
                   [this, now](read_answer answer) { onRead(std::move(answer), now); });
@@ -216,9 +218,8 @@
     }
     m_previousCurrentAsOf = m_currentAsOf;
     const bool nothingNew = answer.records.empty() && answer.end <= m_position;
-    // An empty answer to a long read was given when its wait had passed.
     const bool waitElapsed
-        = m_failures == 0 && nothingNew && m_hooks.now() - sentAt >= m_options.wait;
+        = nothingNew && answer.waited >= m_options.wait && m_hooks.now() - sentAt >= m_options.wait;
     const bool reachedEnd
         = answer.records.empty() || answer.records.back().offset + 1 >= answer.end;
     if (reachedEnd)
