--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -53,6 +53,11 @@
     std::function<void(const char *decision, const std::string &item, const std::string &detail)>
         onDecision;
 
+    /// Called once when a later process of this agent has taken over, or may have. This process
+    /// does nothing any more and should be ended.
+    std::function<void()> onSuperseded;
+    bool isSuperseded() const { return m_superseded; }
+
     std::size_t runs() const { return m_runs.size(); }
     /// Addresses, as HOST:PORT, at which entries take messages.
     std::vector<std::string> entryAddresses() const;
@@ -98,7 +103,16 @@
     void onOrdered(const run_ordered &ordered, bool stale);
     void markEnded(const item_run &run);
     void markUnwanted(const job_id &job);
+    /// Epoch for a process that starts now.
+    std::uint64_t clockEpoch() const;
+    /// Records that this process is the agent now. From then on the store refuses what earlier
+    /// processes of the agent sent.
     void recordSession();
+    void retrySession(const char *why);
+    /// Looks for the record of this session, and of a later one, in what was read of the journal.
+    void checkSession();
+    /// Gives up all activity in favour of a later process of this agent.
+    void retire(const char *why);
     void announce();
     void sendHeartbeat();
     /// Handles a new incarnation of the worker: nothing is ordered until its lists of runs were
@@ -146,6 +160,13 @@
     bool m_announcing = false;
     bool m_announced = false;                     ///< for the present incarnation of the worker
     std::optional<std::uint64_t> m_sessionOffset; ///< offset of the record of this process
+    bool m_sessionConfirmed = false;              ///< the journal was read up to that record
+    bool m_recordingSession = false;
+    absl::Time m_sessionRetryAt = absl::InfinitePast();
+    std::uint32_t m_epochRaises = 0;
+    std::optional<process_started> m_newestSession; ///< newest one of this agent that was read
+    std::uint64_t m_newestSessionOffset = 0;
+    bool m_superseded = false;
     std::uint64_t m_tokenStep = 0;
     bool m_evicted = false;
     absl::Time m_heartbeatAt = absl::InfinitePast();
--- a/include/hyssoppond/batch/log_writer_base.h
+++ b/include/hyssoppond/batch/log_writer_base.h
@@ -22,7 +22,7 @@
     Written,
     NotWritten, ///< and never will be
     Unknown,    ///< the deadline passed; they may have been or may still be written
-    Fenced,     ///< a higher epoch took over; an earlier try may have written them
+    Fenced, ///< the store takes nothing more of this epoch; an earlier try may have written them
 };
 
 /// Sends one batch at a time. A batch without an answer is repeated with the same sequence number
@@ -45,6 +45,9 @@
         write(std::move(records), deadline, deadline, std::move(done));
     }
 
+    /// Continues with a higher epoch after Fenced, or while the writer is idle.
+    void beginEpoch(std::uint64_t epoch);
+
     /// Does what is due.
     void tick();
     /// When tick has to be called next.
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -31,6 +31,18 @@
 /// A worker's leaving time is announced again when it changes by more than this.
 constexpr unix_ms LeavingToleranceMs = 1'000;
 
+/// Random low bits of an epoch. They keep processes apart that start at the same time of day, which
+/// a step of the clock makes possible. The rest is the time of day in ms.
+constexpr unsigned EpochRandomBits = 10;
+
+/// First raise of an epoch that is too low, in ms; exceeds the steps of the clock. It doubles with
+/// each further raise.
+constexpr std::uint64_t FirstEpochRaiseMs = 4'000;
+constexpr std::uint32_t MaxEpochDoublings = 20;
+
+/// Pause before the session is recorded with a higher epoch.
+constexpr absl::Duration SessionRetryDelay = absl::Milliseconds(100);
+
 /// Time limit for one answer of the store.
 constexpr absl::Duration StoreTimeout = absl::Milliseconds(1000);
 
@@ -52,7 +64,7 @@
     , m_hooks(std::move(hooks))
     , m_follower({m_options.journalTopic, JournalWait}, store, m_hooks)
     , m_writer(
-          {m_options.journalTopic, absl::StrCat(m_options.agent.str(), "/", m_options.incarnation)},
+          {m_options.journalTopic, absl::StrCat(m_options.agent.str(), "/journal"), clockEpoch()},
           store, m_hooks)
 {
     m_follower.setMinReadInterval(m_options.wakeAddress.empty() ? MinReadInterval
@@ -72,25 +84,86 @@
         onDecision(decision, item, detail);
 }
 
+std::uint64_t batch_agent::clockEpoch() const
+{
+    const auto nowMs = static_cast<std::uint64_t>(absl::ToUnixMillis(m_hooks.wallNow()));
+    return (nowMs << EpochRandomBits) + (m_hooks.random() & ((1U << EpochRandomBits) - 1));
+}
+
 void batch_agent::recordSession()
 {
+    m_recordingSession = true;
     const batch_record record
         = process_started {m_options.agent, m_options.incarnation, false, m_options.wakeAddress};
-    m_writer.write(
-        {{keyOf(record), encodeRecord(record), 0}}, absl::InfiniteFuture(),
-        [this](write_result writeResult, std::uint64_t offset) {
-            if (writeResult != write_result::Written)
-                return;
-            m_sessionOffset = offset;
-            logDecision("session recorded", m_options.agent.str(),
-                        absl::StrCat("offset ", offset, ", incarnation ", m_options.incarnation));
-        });
+    m_writer.write({{keyOf(record), encodeRecord(record), 0}}, absl::InfiniteFuture(),
+                   [this](write_result writeResult, std::uint64_t offset) {
+                       m_recordingSession = false;
+                       if (writeResult != write_result::Written) {
+                           retrySession("the store knows a higher epoch");
+                           return;
+                       }
+                       m_sessionOffset = offset;
+                       logDecision("session recorded", m_options.agent.str(),
+                                   absl::StrCat("offset ", offset, ", incarnation ",
+                                                m_options.incarnation, ", epoch ",
+                                                m_writer.epoch()));
+                   });
+}
+
+void batch_agent::retrySession(const char *why)
+{
+    logDecision("session refused", m_options.agent.str(),
+                absl::StrCat("epoch ", m_writer.epoch(), ": ", why));
+    const std::uint64_t raiseMs = FirstEpochRaiseMs << std::min(m_epochRaises++, MaxEpochDoublings);
+    m_writer.beginEpoch(std::max(m_writer.epoch(), clockEpoch()) + (raiseMs << EpochRandomBits));
+    m_sessionOffset.reset();
+    m_sessionRetryAt = m_hooks.now() + SessionRetryDelay;
+}
+
+void batch_agent::checkSession()
+{
+    if (!m_sessionOffset) {
+        if (!m_recordingSession && m_hooks.now() >= m_sessionRetryAt)
+            recordSession();
+        return;
+    }
+    if (m_newestSession && m_newestSessionOffset > *m_sessionOffset) {
+        retire("the journal shows a later process of this agent");
+        return;
+    }
+    if (m_sessionConfirmed || !m_follower.isLoaded() || m_follower.position() <= *m_sessionOffset)
+        return;
+    m_sessionConfirmed = m_newestSession && m_newestSessionOffset == *m_sessionOffset
+        && m_newestSession->incarnation == m_options.incarnation;
+    // The store answers the append of a second process with the same epoch as if it repeated that
+    // of the first one.
+    if (!m_sessionConfirmed)
+        retrySession("another process has used it");
+}
+
+void batch_agent::retire(const char *why)
+{
+    if (m_superseded)
+        return;
+    m_superseded = true;
+    m_description.reset();
+    m_synced = false;
+    m_announced = false;
+    m_announceDue = false;
+    logDecision("superseded", m_options.agent.str(), absl::StrCat(why, "; ", describeLease()));
+    if (onSuperseded)
+        onSuperseded();
 }
 
 void batch_agent::tick()
 {
+    if (m_superseded)
+        return;
     m_follower.tick();
     m_writer.tick();
+    checkSession();
+    if (m_superseded)
+        return;
     if (m_announceDue && !m_announcing)
         announce();
     if (m_follower.isLoaded() && m_announced) {
@@ -105,7 +178,11 @@
 
 absl::Time batch_agent::nextDeadline() const
 {
+    if (m_superseded)
+        return absl::InfiniteFuture();
     absl::Time next = std::min(m_follower.nextDeadline(), m_writer.nextDeadline());
+    if (!m_sessionOffset && !m_recordingSession)
+        next = std::min(next, m_sessionRetryAt);
     if (m_announced)
         next = std::min(next, m_heartbeatAt);
     if (wantsPoll() && !m_polling)
@@ -120,6 +197,8 @@
 
 void batch_agent::onHeartbeat(const worker_description &worker)
 {
+    if (m_superseded)
+        return;
     if (m_description && worker.workerStartMs < m_description->workerStartMs)
         return; // sent by an earlier incarnation and delayed
     const bool newIncarnation = !m_description
@@ -193,21 +272,21 @@
     if (m_description)
         record.worker = *m_description;
     const batch_record content = record;
-    m_writer.write({{keyOf(content), encodeRecord(content), 0}}, absl::InfiniteFuture(),
-                   [this, workerIncarnation = m_workerIncarnation,
-                    announcedStartMs = record.worker.workerStartMs](write_result writeResult,
-                                                                    std::uint64_t offset) {
-                       m_announcing = false;
-                       logDecision("announced", m_options.agent.str(),
-                                   absl::StrCat(writeResult == write_result::Written
-                                                    ? absl::StrCat("offset ", offset)
-                                                    : "not recorded",
-                                                ", worker incarnation ", announcedStartMs));
-                       if (writeResult != write_result::Written)
-                           m_announceDue = true;
-                       else if (workerIncarnation == m_workerIncarnation && m_description)
-                           m_announced = true;
-                   });
+    m_writer.write(
+        {{keyOf(content), encodeRecord(content), 0}}, absl::InfiniteFuture(),
+        [this, workerIncarnation = m_workerIncarnation,
+         announcedStartMs = record.worker.workerStartMs](write_result writeResult,
+                                                         std::uint64_t offset) {
+            m_announcing = false;
+            if (writeResult != write_result::Written) {
+                retire("the store refused the announcement of its worker");
+                return;
+            }
+            logDecision("announced", m_options.agent.str(),
+                        absl::StrCat("offset ", offset, ", worker incarnation ", announcedStartMs));
+            if (workerIncarnation == m_workerIncarnation && m_description)
+                m_announced = true;
+        });
 }
 
 void batch_agent::sendHeartbeat()
@@ -287,6 +366,11 @@
     } else if (const auto *started = std::get_if<process_started>(&*decoded)) {
         if (started->isEntry && !started->wakeAddress.empty())
             m_entryAddresses[started->process] = started->wakeAddress;
+        if (!started->isEntry && started->process == m_options.agent
+            && stored.offset >= m_newestSessionOffset) {
+            m_newestSession = *started;
+            m_newestSessionOffset = stored.offset;
+        }
     } else if (const auto *cancelled = std::get_if<job_cancelled>(&*decoded)) {
         markUnwanted(cancelled->job);
     } else if (const auto *failed = std::get_if<job_failed>(&*decoded)) {
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -116,8 +116,10 @@
                    [this, ends = std::move(ends), lastEnd, workerIncarnation = m_workerIncarnation](
                        write_result writeResult, std::uint64_t offset) {
                        --m_reportsInFlight;
-                       if (writeResult != write_result::Written)
-                           return; // only another process with the same producer name can fence
+                       if (writeResult != write_result::Written) {
+                           retire("the store refused the ends of runs");
+                           return;
+                       }
                        for (const run_ended &ended : ends) {
                            const item_run id {ended.unit, ended.member, ended.run};
                            logDecision("end recorded", nameOf(id),
@@ -192,6 +194,8 @@
 void batch_agent::onStarted(const item_run &id, std::uint64_t sentToken, const order_answer &answer)
 {
     updateWorkerClock(answer.workerClockMs);
+    if (m_superseded)
+        return;
     const auto found = m_runs.find(id);
     if (found == m_runs.end() || found->second.state != phase::Starting)
         return;
@@ -274,8 +278,7 @@
 bool batch_agent::wantsPoll() const
 {
     // Runs without an order can be recognized only when all orders before this session are known.
-    if (!m_sessionOffset || !m_follower.isLoaded() || m_follower.position() <= *m_sessionOffset
-        || !m_description)
+    if (!m_sessionConfirmed || !m_follower.isLoaded() || !m_description)
         return false;
     return !m_synced || !m_runs.empty() || m_reportsInFlight != 0
         || m_handledEnd > m_acknowledgedEnd;
@@ -336,6 +339,8 @@
 {
     const absl::Time now = m_hooks.now();
     updateWorkerClock(answer.workerClockMs);
+    if (m_superseded)
+        return;
     m_pollAt = now;
     m_pollOnFreshConnection = false;
     if (answer.outcome != order_outcome::Done) {
--- a/src/batch/log_writer.cpp
+++ b/src/batch/log_writer.cpp
@@ -36,6 +36,13 @@
         sendNext();
 }
 
+void log_writer::beginEpoch(std::uint64_t epoch)
+{
+    m_options.epoch = epoch;
+    m_sequence = 1;
+    m_fenced = false;
+}
+
 bool log_writer::isStalled(absl::Duration limit) const
 {
     return !m_batch.empty() && m_hooks.now() - m_batchStartedAt > limit;
@@ -135,7 +142,7 @@
         finish(write_result::Written, answer.offset);
         return;
     case store_outcome::Fenced:
-    case store_outcome::OutOfSequence:
+    case store_outcome::OutOfSequence: // another writer has used the same epoch
         m_fenced = true;
         finish(write_result::Fenced, 0);
         return;
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -62,7 +62,8 @@
         options.incarnation = ++m_incarnations;
         options.wakeAddress = name;
         options.configTopic = "op";
-        siteProcess->node = std::make_unique<batch_entry>(options, &siteProcess->port, makeHooks());
+        siteProcess->node
+            = std::make_unique<batch_entry>(options, &siteProcess->port, makeHooks(name));
         siteProcess->node->sendWake = siteProcess->relay->send;
         siteProcess->relay->peers
             = [node = siteProcess->node.get()] { return node->peerAddresses(); };
@@ -82,10 +83,14 @@
         options.incarnation = ++m_incarnations;
         options.wakeAddress = name;
         siteProcess->node = std::make_unique<batch_agent>(options, &siteProcess->port,
-                                                          &siteProcess->worker, makeHooks());
+                                                          &siteProcess->worker, makeHooks(name));
         siteProcess->relay->peers
             = [node = siteProcess->node.get()] { return node->entryAddresses(); };
         siteProcess->node->onDecision = recordDecisionsOf(name);
+        siteProcess->node->onSuperseded = [this, name, ended = siteProcess.get()] {
+            if (endSupersededAgents)
+                endAndRestart(name, ended);
+        };
         agents[name] = siteProcess;
         drive(siteProcess);
         heartbeat(name, siteProcess);
@@ -185,6 +190,13 @@
     std::map<std::string, std::shared_ptr<agent_process>> agents;
     std::map<std::string, std::shared_ptr<entry_process>> entries;
 
+    /// Error of the time of day of the processes that start from now on, by name.
+    std::map<std::string, absl::Duration> wallSkew;
+
+    /// Whether an agent process ends that another one has superseded. The platform then starts the
+    /// agent again.
+    bool endSupersededAgents = true;
+
     /// Share of the datagrams between processes that are lost.
     double datagramLoss = 0.001;
 
@@ -194,7 +206,8 @@
     void connect(const std::string &name, process *siteProcess)
     {
         siteProcess->direct = store.portOf(name, siteProcess->alive);
-        siteProcess->relay = std::make_unique<store_relay>(name, &siteProcess->direct, makeHooks());
+        siteProcess->relay
+            = std::make_unique<store_relay>(name, &siteProcess->direct, makeHooks(name));
         siteProcess->relay->send = [this](const std::string &address, const std::string &message) {
             if (clock.uniform() >= datagramLoss)
                 clock.after(DatagramDelay, [this, address, message] { deliver(address, message); });
@@ -224,9 +237,25 @@
     static constexpr absl::Duration DatagramDelay = absl::Milliseconds(3);
     static constexpr absl::Duration HeartbeatInterval = absl::Milliseconds(1500);
 
-    loop_hooks makeHooks()
+    static constexpr absl::Duration RestartDelay = absl::Seconds(1);
+
+    void endAndRestart(const std::string &name, agent_process *ended)
+    {
+        *ended->alive = false;
+        const auto current = agents.find(name);
+        if (current == agents.end() || current->second.get() != ended)
+            return;
+        agents.erase(current);
+        clock.after(RestartDelay, [this, name] {
+            if (!agents.contains(name))
+                startAgent(name);
+        });
+    }
+
+    loop_hooks makeHooks(const std::string &name)
     {
-        return {[this] { return clock.now(); }, [this] { return clock.now(); },
+        return {[this] { return clock.now(); },
+                [this, skew = wallSkew[name]] { return clock.now() + skew; },
                 [this] { return clock.random(); }};
     }
 
