Worker incarnations are told apart by equality, not by their starts' order

Cause: a worker that restarts under its id is known by its start in time of day, and the clock may be stepped back between two incarnations. The agent compared starts by order. It took all heartbeats of a worker with an earlier start for delayed ones and announced nothing. An order for the incarnation before then started an item on the present one, whose next list of runs made the agent announce it. For the decider that announcement ended the run, and it ordered the next one, but the agent kept the first one as its own, because its order did not seem to be for an earlier incarnation. The other way round, a delayed heartbeat of an earlier incarnation with a later start voided the orders of the present one: their runs were stopped, without a record of their end.

Change: a heartbeat with an earlier start makes the agent ask the worker, whose answer names its incarnation. Orders are void if they are for another incarnation than the one that answered. item_history now also reports two runs of an item on one worker; before, it compared workers only.

Why it works: an order names an incarnation that an agent process announced, and each announcement follows an answer of that incarnation. So an order for any other one than that which answered last is for an earlier one, whatever the starts say.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -90,8 +90,9 @@
         std::uint32_t startAttempts = 0;
     };
 
-    /// Drops the orders for earlier incarnations of the worker, as they are void.
-    void dropOrdersOfEarlierIncarnations();
+    /// Notes that the present incarnation of the worker has answered. All orders for others are
+    /// void.
+    void confirmIncarnation();
     bool isCurrent(const local_run &run) const;
     void logDecision(const char *decision, const std::string &item,
                      const std::string &detail) const;
@@ -156,6 +157,11 @@
     log_writer m_writer;
 
     std::optional<worker_description> m_description;
+    /// Last report by an incarnation with an earlier start, which may be delayed or present.
+    std::optional<worker_description> m_doubtfulReport;
+    absl::Time m_doubtfulReportAt;
+    /// Start of the present incarnation, once its lists of runs were read.
+    std::optional<unix_ms> m_confirmedStartMs;
     bool m_announceDue = false;
     bool m_announcing = false;
     bool m_announced = false;                     ///< for the present incarnation of the worker
--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -12,8 +12,8 @@
 
 namespace hyssoppond {
 
-/// Records which items all workers of a test ran, and every breach: an item that runs on two
-/// workers at once, and an item that starts after its end as Done was acknowledged.
+/// Records which items all workers of a test ran, and every breach: an item that runs twice at
+/// once, on two workers or on one, and an item that starts after its end as Done was acknowledged.
 class item_history
 {
 public:
@@ -33,7 +33,7 @@
 
 private:
     virtual_clock *m_clock;
-    std::map<std::string, std::set<std::string>> m_running;
+    std::map<std::string, std::multiset<std::string>> m_running; ///< workers, by item
     std::set<std::string> m_done;
 };
 
@@ -66,6 +66,7 @@
     item_worker_faults faults;
     double clockRate = 1.0; ///< of the worker's steady clock against the virtual clock
     absl::Duration itemTime = absl::Seconds(2); ///< run time of each item
+    absl::Duration wallSkew;                    ///< error of its time of day at its next restart
     std::size_t calls = 0;                      ///< orders and polls, also those lost on the way
     std::int64_t longestLeaseMs = 6'000;        ///< limit of a lease, on the worker's clock
     std::size_t running() const { return m_runs.size(); }
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -199,8 +199,14 @@
 {
     if (m_superseded)
         return;
-    if (m_description && worker.workerStartMs < m_description->workerStartMs)
-        return; // sent by an earlier incarnation and delayed
+    if (m_description && worker.workerStartMs < m_description->workerStartMs) {
+        // Either sent by an earlier incarnation and delayed, or the worker has restarted after its
+        // time of day was stepped back. The worker's answer to a poll tells which.
+        m_doubtfulReport = worker;
+        m_doubtfulReportAt = m_hooks.now();
+        tick();
+        return;
+    }
     const bool newIncarnation = !m_description
         || m_description->workerStartMs != worker.workerStartMs
         || m_description->worker != worker.worker;
@@ -222,6 +228,8 @@
     m_announced = false;
     m_announceDue = false;
     m_synced = false;
+    m_confirmedStartMs.reset();
+    m_doubtfulReport.reset();
     m_handledEnd = 0;
     m_acknowledgedEnd = 0;
     m_incarnationConfirmedAt = absl::InfinitePast();
@@ -230,7 +238,6 @@
     m_pollAt = m_hooks.now();
     // An order for the previous incarnation may still arrive at this one.
     supersedeOrders();
-    dropOrdersOfEarlierIncarnations();
 }
 
 void batch_agent::onWorkerLeft(const std::string &worker)
@@ -239,6 +246,8 @@
         return;
     logDecision("worker left", worker, absl::StrCat(m_runs.size(), " runs, ", describeLease()));
     m_description.reset();
+    m_confirmedStartMs.reset();
+    m_doubtfulReport.reset();
     m_announced = false;
     m_synced = false;
     ++m_workerIncarnation;
@@ -247,13 +256,16 @@
     tick();
 }
 
-void batch_agent::dropOrdersOfEarlierIncarnations()
+void batch_agent::confirmIncarnation()
 {
+    if (m_confirmedStartMs)
+        return;
+    m_confirmedStartMs = m_description->workerStartMs;
     std::erase_if(m_runs, [this](const auto &entry) {
-        const bool earlier = entry.second.workerStartMs < m_description->workerStartMs;
-        if (earlier)
+        const bool isVoid = entry.second.workerStartMs != *m_confirmedStartMs;
+        if (isVoid)
             m_voidedRuns.insert(entry.first);
-        return earlier;
+        return isVoid;
     });
 }
 
@@ -394,7 +406,7 @@
         const item_run id {ordered.unit, member.index, ordered.run};
         if (m_endedRuns.contains(id))
             continue;
-        if (m_description && member.workerStartMs < m_description->workerStartMs) {
+        if (m_confirmedStartMs && member.workerStartMs != *m_confirmedStartMs) {
             m_voidedRuns.insert(id);
             continue;
         }
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -280,7 +280,7 @@
     // Runs without an order can be recognized only when all orders before this session are known.
     if (!m_sessionConfirmed || !m_follower.isLoaded() || !m_description)
         return false;
-    return !m_synced || !m_runs.empty() || m_reportsInFlight != 0
+    return !m_synced || m_doubtfulReport || !m_runs.empty() || m_reportsInFlight != 0
         || m_handledEnd > m_acknowledgedEnd;
 }
 
@@ -304,8 +304,8 @@
     // that were never read must not be acknowledged by the numbers of the previous incarnation.
     const bool incarnationConfirmed = now - m_incarnationConfirmedAt < IncarnationConfirmedFor;
     request.acknowledgedEnd = incarnationConfirmed ? m_handledEnd : 0;
-    const bool mayWait = m_synced && !uncertain && m_reportsInFlight == 0 && incarnationConfirmed
-        && m_handledEnd == m_acknowledgedEnd;
+    const bool mayWait = m_synced && !m_doubtfulReport && !uncertain && m_reportsInFlight == 0
+        && incarnationConfirmed && m_handledEnd == m_acknowledgedEnd;
     request.wait = mayWait ? PollWait : absl::ZeroDuration();
     request.worker = m_description->worker;
     request.deadline = now + request.wait + OrderTimeout;
@@ -356,6 +356,13 @@
         }
         m_pollOnFreshConnection = answer.outcome == order_outcome::NoAnswer;
         m_pollAt = now + PollRetryDelay;
+        if (answer.outcome == order_outcome::WorkerRestarted && m_doubtfulReport
+            && workerIncarnation == m_workerIncarnation) {
+            // The known worker is gone, so the report of another one is not a delayed one.
+            m_description = *m_doubtfulReport;
+            logDecision("worker found", m_description->worker, "the one before is gone");
+            beginWorkerIncarnation();
+        }
         return;
     }
     if (!m_description || workerIncarnation != m_workerIncarnation)
@@ -367,6 +374,9 @@
         return;
     }
     m_incarnationConfirmedAt = now;
+    confirmIncarnation();
+    if (sentAt >= m_doubtfulReportAt)
+        m_doubtfulReport.reset();
     const bool firstPoll = !m_synced;
     bool hasUnknownRuns = false;
     std::set<item_run> listed;
--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -2,6 +2,7 @@
 #include "hyssoppond/fakes/fake_item_worker_base.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 
@@ -43,16 +44,19 @@
     if (m_done.contains(item))
         breaches.push_back(absl::StrCat(item, " started on ", worker, " after it was done, at ",
                                         absl::FormatTime(m_clock->now())));
-    std::set<std::string> &running = m_running[item];
+    std::multiset<std::string> &running = m_running[item];
     running.insert(worker);
     if (running.size() > 1)
-        breaches.push_back(absl::StrCat(item, " runs on ", running.size(), " workers at ",
+        breaches.push_back(absl::StrCat(item, " has ", running.size(), " runs, on ",
+                                        absl::StrJoin(running, " and "), ", at ",
                                         absl::FormatTime(m_clock->now())));
 }
 
 void item_history::ended(const std::string &item, const std::string &worker)
 {
-    m_running[item].erase(worker);
+    std::multiset<std::string> &running = m_running[item];
+    if (const auto found = running.find(worker); found != running.end())
+        running.erase(found);
 }
 
 void item_history::endAcknowledged(const std::string &item, run_end runEnd)
@@ -97,7 +101,7 @@
     ++m_workerIncarnation;
     m_startedAt = m_clock->now();
     m_reachableAt = m_startedAt + RestartDuration;
-    m_description.workerStartMs = absl::ToUnixMillis(m_startedAt);
+    m_description.workerStartMs = absl::ToUnixMillis(m_startedAt + wallSkew);
     m_description.draining = false;
 }
 
--- a/tests/batch_successor_test.cpp
+++ b/tests/batch_successor_test.cpp
@@ -262,6 +262,69 @@
     submitAndRun();
 }
 
+/// The worker of Agent has restarted after its time of day was stepped back, so that its present
+/// incarnation has the earlier start.
+class batch_reborn_test : public batch_successor_test
+{
+protected:
+    void startWithRebornWorker()
+    {
+        start();
+        fake_item_worker &worker = *m_site->workers.at(Agent);
+        worker.wallSkew = absl::Seconds(2);
+        worker.restart();
+        m_site->clock.runFor(absl::Seconds(1));
+        m_earlier = worker.description();
+        worker.wallSkew = absl::ZeroDuration();
+        worker.restart();
+        ASSERT_LT(worker.description().workerStartMs, m_earlier.workerStartMs);
+        m_site->clock.runFor(absl::Milliseconds(500));
+    }
+
+    worker_description m_earlier;
+};
+
+// Guards against two runs of one item on a worker that has restarted with an earlier time of day.
+// Its agent took its heartbeats for delayed ones, sent it an order for the incarnation before, and
+// then announced it, which ended that run for the decider.
+TEST_F(batch_reborn_test, orderForTheIncarnationBeforeIsStopped)
+{
+    startWithRebornWorker();
+    const std::string id = batch_site::idOf(1);
+    m_site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+    m_site->clock.runFor(absl::Seconds(40));
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << m_site->decisionsAbout(id);
+    EXPECT_EQ(m_site->history.starts, 2U) << "one for each incarnation";
+    EXPECT_EQ(m_site->history.done, 1U) << m_site->decisionsAbout(id);
+}
+
+// Guards against a worker that gets no orders for its present incarnation because its heartbeats
+// are taken for delayed ones.
+TEST_F(batch_reborn_test, idleWorkerIsAnnounced)
+{
+    startWithRebornWorker();
+    m_site->clock.runFor(absl::Seconds(4));
+    const auto &agents = m_site->entries.at("entry-0")->node->state().agents();
+    EXPECT_EQ(agents.at(process_id(Agent)).worker.workerStartMs,
+              m_site->workers.at(Agent)->description().workerStartMs);
+    submitAndRun();
+    EXPECT_EQ(m_site->history.starts, 1U);
+    EXPECT_THAT(m_site->history.breaches, IsEmpty());
+}
+
+// Guards against a run that is stopped, and whose end is never recorded, when a delayed heartbeat
+// of an earlier incarnation with a later start arrives.
+TEST_F(batch_reborn_test, delayedHeartbeatEndsNoRun)
+{
+    startWithRebornWorker();
+    m_site->clock.runFor(absl::Seconds(4));
+    const std::string id = submitAndRun();
+    m_site->agents.at(Agent)->node->onHeartbeat(m_earlier);
+    m_site->clock.runFor(absl::Seconds(40));
+    EXPECT_EQ(m_site->history.starts, 1U) << m_site->decisionsAbout(id);
+    EXPECT_EQ(m_site->history.done, 1U);
+}
+
 // Guards against two processes of one agent that share an epoch: the store answers the session of
 // the second one as if it repeated that of the first one, and stores nothing.
 TEST(batch_session_test, processesWithTheSameClockHaveDifferentEpochs)
@@ -289,8 +352,9 @@
     EXPECT_FALSE(processes[1]->isSuperseded());
 }
 
-// Guards against two runs of one item while agent processes follow one another with a stepped time
-// of day, and the store carries out late or does not answer what they sent.
+// Guards against two runs of one item while agent processes and incarnations of their workers
+// follow one another with a stepped time of day, heartbeats are delayed, and the store carries out
+// late or does not answer what they sent.
 class batch_succession_test : public testing::TestWithParam<std::uint64_t>
 { };
 
@@ -312,23 +376,28 @@
         store_faults &storeFaults = site.store.faults[agent];
         storeFaults.executeLate = 0.5;
         storeFaults.loseAnswers = 0.3;
+        fake_item_worker &worker = *site.workers.at(agent);
+        worker.wallSkew = absl::Seconds(4 * clock.uniform() - 2);
+        const worker_description earlier = worker.description();
         site.datagramLoss
             = clock.uniform() < 0.5 ? 1.0 : 0.001; // otherwise peers relay the appends
         if (clock.uniform() < 0.5)
-            site.workers.at(agent)->restart();
+            worker.restart();
         else if (clock.uniform() < 0.5)
-            site.workers.at(agent)->faults.unreachable = true;
+            worker.faults.unreachable = true;
         clock.runFor(absl::Seconds(2 * clock.uniform()));
         site.kill(agent);
         clock.runFor(absl::Seconds(0.5 * clock.uniform()));
         if (clock.uniform() < 0.5)
-            site.workers.at(agent)->restart();
-        site.workers.at(agent)->faults.unreachable = false;
+            worker.restart();
+        worker.faults.unreachable = false;
         if (clock.uniform() < 0.7)
             storeFaults = {};
         site.wallSkew[agent] = absl::Seconds(4 * clock.uniform() - 2);
         if (!site.agents.contains(agent))
             site.startAgent(agent);
+        if (clock.uniform() < 0.5) // a delayed heartbeat
+            site.agents.at(agent)->node->onHeartbeat(earlier);
         clock.runFor(absl::Seconds(2 * clock.uniform()));
         storeFaults = {};
         site.datagramLoss = 0.001;
