An entry decides only after it has read its own grant

The store answers the second grant as if it repeated the first one, with its offset, and stores nothing. Both entries then decided, neither fencing the other.

Otherwise it steps down and takes a higher epoch at the next join.

Why it works: the store keeps one grant for an epoch, so only one entry reads its own.

Evidence, entriesWithTheSameEpochDoNotBothDecide on the code before:

deciding("entry-0") && deciding("entry-1"): Actual: true, Expected: false 2.303 entry-1: decider started entry-1 epoch 1031 3.380 entry-0: decider started entry-0 epoch 1031

--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -105,8 +105,14 @@
         m_writer->tick();
     if (m_phase != phase::Standby && m_state->grant().epoch > m_epoch)
         stepDown("a later decider took over");
-    if (m_phase == phase::CatchingUp && m_journal->position() > m_grantOffset)
-        startDeciding();
+    if (m_phase == phase::CatchingUp && m_journal->position() > m_grantOffset) {
+        // The store answers a grant of an epoch that another entry has drawn too as if it repeated
+        // that entry's grant.
+        if (m_state->grant().epoch == m_epoch && m_state->grant().entry == m_options.entry)
+            startDeciding();
+        else
+            stepDown("the journal does not show its grant");
+    }
     if (m_phase != phase::Deciding)
         return;
     if (m_state->jobsOver() != m_jobsOver)
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -190,6 +191,9 @@
     std::map<std::string, std::shared_ptr<agent_process>> agents;
     std::map<std::string, std::shared_ptr<entry_process>> entries;
 
+    /// Random number that all processes draw; none: different ones.
+    std::optional<std::uint64_t> fixedRandom;
+
     /// Error of the time of day of the processes that start from now on, by name.
     std::map<std::string, absl::Duration> wallSkew;
 
@@ -256,7 +260,7 @@
     {
         return {[this] { return clock.now(); },
                 [this, skew = wallSkew[name]] { return clock.now() + skew; },
-                [this] { return clock.random(); }};
+                [this] { return fixedRandom ? *fixedRandom : clock.random(); }};
     }
 
     void addWorker(std::size_t number)
--- a/tests/batch_successor_test.cpp
+++ b/tests/batch_successor_test.cpp
@@ -262,6 +262,35 @@
     submitAndRun();
 }
 
+// Guards against two deciders at once. Two entries drew the same epoch, because the first one's
+// grant had no answer when the second one took over. The store answered the first one's repetition
+// with the offset of the other grant.
+TEST_F(batch_successor_test, entriesWithTheSameEpochDoNotBothDecide)
+{
+    m_site = std::make_unique<batch_site>(1, 2);
+    m_site->fixedRandom = 7;
+    store_port &port = m_site->entries.at("entry-0")->port;
+    const store_port reachable = port;
+    port.append = [this](const append_request &request, std::function<void(append_answer)> done) {
+        m_site->clock.at(request.deadline, [done = std::move(done)] { done({}); });
+    };
+    const auto deciding
+        = [this](const char *name) { return m_site->entries.at(name)->node->isDeciding(); };
+    m_site->clock.runFor(absl::Seconds(1)); // entry-0 holds the partition and sends its grant
+    ASSERT_FALSE(deciding("entry-0"));
+    port.join = [this](const join_request &request, std::function<void(join_answer)> done) {
+        m_site->clock.at(request.deadline, [done = std::move(done)] { done({}); });
+    };
+    for (int i = 0; i < 300 && !deciding("entry-1"); ++i)
+        m_site->clock.runFor(absl::Milliseconds(10));
+    ASSERT_TRUE(deciding("entry-1"));
+    port.append = reachable.append;
+    for (int i = 0; i < 300; ++i) {
+        m_site->clock.runFor(absl::Milliseconds(10));
+        ASSERT_FALSE(deciding("entry-0") && deciding("entry-1")) << m_site->decisionsAbout("entry");
+    }
+}
+
 /// The worker of Agent has restarted after its time of day was stepped back, so that its present
 /// incarnation has the earlier start.
 class batch_reborn_test : public batch_successor_test
