--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -115,8 +115,10 @@
                    [this, ends = std::move(ends), lastEnd, workerIncarnation = m_workerIncarnation](
                        write_result writeResult, std::uint64_t offset) {
                        --m_reportsInFlight;
-                       if (writeResult != write_result::Written)
-                           return; // only another process with the same producer name can fence
+                       if (writeResult != write_result::Written) {
+                           retire("the store refused the ends of runs");
+                           return;
+                       }
                        for (const run_ended &ended : ends) {
                            const item_run id {ended.unit, ended.member, ended.run};
                            logDecision("end recorded", nameOf(id), absl::StrCat("offset ", offset));
@@ -191,6 +193,8 @@
 void batch_agent::onStarted(const item_run &id, std::uint64_t sentToken, const order_answer &answer)
 {
     updateWorkerClock(answer.workerClockMs);
+    if (m_superseded)
+        return;
     const auto found = m_runs.find(id);
     if (found == m_runs.end() || found->second.state != phase::Starting)
         return;
@@ -273,10 +277,9 @@
 bool batch_agent::wantsPoll() const
 {
     // Runs without an order can be recognized only when all orders before this session are known.
-    if (!m_sessionOffset || !m_follower.isLoaded() || m_follower.position() <= *m_sessionOffset
-        || !m_description)
+    if (!m_sessionConfirmed || !m_follower.isLoaded() || !m_description)
         return false;
-    return !m_synced || !m_runs.empty() || m_reportsInFlight != 0
+    return !m_synced || m_doubtfulReport || !m_runs.empty() || m_reportsInFlight != 0
         || m_handledEnd > m_acknowledgedEnd;
 }
 
@@ -300,8 +303,8 @@
     // that were never read must not be acknowledged by the numbers of the previous incarnation.
     const bool incarnationConfirmed = now - m_incarnationConfirmedAt < IncarnationConfirmedFor;
     request.acknowledgedEnd = incarnationConfirmed ? m_handledEnd : 0;
-    const bool mayWait = m_synced && !uncertain && m_reportsInFlight == 0 && incarnationConfirmed
-        && m_handledEnd == m_acknowledgedEnd;
+    const bool mayWait = m_synced && !m_doubtfulReport && !uncertain && m_reportsInFlight == 0
+        && incarnationConfirmed && m_handledEnd == m_acknowledgedEnd;
     request.wait = mayWait ? PollWait : absl::ZeroDuration();
     request.worker = m_description->worker;
     request.deadline = now + request.wait + OrderTimeout;
@@ -335,6 +338,8 @@
 {
     const absl::Time now = m_hooks.now();
     updateWorkerClock(answer.workerClockMs);
+    if (m_superseded)
+        return;
     m_pollAt = now;
     m_pollOnFreshConnection = false;
     if (answer.outcome != order_outcome::Done) {
@@ -350,6 +355,13 @@
         }
         m_pollOnFreshConnection = answer.outcome == order_outcome::NoAnswer;
         m_pollAt = now + PollRetryDelay;
+        if (answer.outcome == order_outcome::WorkerRestarted && m_doubtfulReport
+            && workerIncarnation == m_workerIncarnation) {
+            // The known worker is gone, so the report of another one is not a delayed one.
+            m_description = *m_doubtfulReport;
+            logDecision("worker found", m_description->worker, "the one before is gone");
+            beginWorkerIncarnation();
+        }
         return;
     }
     if (!m_description || workerIncarnation != m_workerIncarnation)
@@ -361,6 +373,9 @@
         return;
     }
     m_incarnationConfirmedAt = now;
+    confirmIncarnation();
+    if (sentAt >= m_doubtfulReportAt)
+        m_doubtfulReport.reset();
     const bool firstPoll = !m_synced;
     bool hasUnknownRuns = false;
     std::set<item_run> listed;
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -76,7 +77,7 @@
         options.wakeAddress = name;
         options.configTopic = "op";
         siteProcess->node = std::make_unique<batch_entry>(options, &siteProcess->port,
-                                                          makeHooks(siteProcess->suspension));
+                                                          makeHooks(name, siteProcess->suspension));
         siteProcess->node->sendWake = siteProcess->relay->send;
         siteProcess->relay->peers
             = [node = siteProcess->node.get()] { return node->peerAddresses(); };
@@ -96,11 +97,16 @@
         options.agent = process_id(name);
         options.incarnation = ++m_incarnations;
         options.wakeAddress = name;
-        siteProcess->node = std::make_unique<batch_agent>(
-            options, &siteProcess->port, &siteProcess->worker, makeHooks(siteProcess->suspension));
+        siteProcess->node
+            = std::make_unique<batch_agent>(options, &siteProcess->port, &siteProcess->worker,
+                                            makeHooks(name, siteProcess->suspension));
         siteProcess->relay->peers
             = [node = siteProcess->node.get()] { return node->entryAddresses(); };
         siteProcess->node->onDecision = recordDecisionsOf(name);
+        siteProcess->node->onSuperseded = [this, name, ended = siteProcess.get()] {
+            if (endSupersededAgents)
+                endAndRestart(name, ended);
+        };
         agents[name] = siteProcess;
         drive(siteProcess);
         heartbeat(name, siteProcess);
@@ -213,6 +219,16 @@
     std::map<std::string, std::shared_ptr<agent_process>> agents;
     std::map<std::string, std::shared_ptr<entry_process>> entries;
 
+    /// Random number that all processes draw; none: different ones.
+    std::optional<std::uint64_t> fixedRandom;
+
+    /// Error of the time of day of the processes that start from now on, by name.
+    std::map<std::string, absl::Duration> wallSkew;
+
+    /// Whether an agent process ends that another one has superseded. The platform then starts the
+    /// agent again.
+    bool endSupersededAgents = true;
+
     /// Share of the datagrams between processes that are lost.
     double datagramLoss = 0.001;
     /// Additional delay of the datagrams to a process.
@@ -224,8 +240,8 @@
     void connect(const std::string &name, process *siteProcess)
     {
         siteProcess->direct = suspendable(store.portOf(name, siteProcess->alive), siteProcess);
-        siteProcess->relay = std::make_unique<store_relay>(name, &siteProcess->direct,
-                                                           makeHooks(siteProcess->suspension));
+        siteProcess->relay = std::make_unique<store_relay>(
+            name, &siteProcess->direct, makeHooks(name, siteProcess->suspension));
         siteProcess->relay->send = [this](const std::string &address, const std::string &message) {
             const absl::Duration delay = DatagramDelay + datagramDelays[address];
             if (clock.uniform() >= datagramLoss)
@@ -308,10 +324,27 @@
     static constexpr absl::Duration DatagramDelay = absl::Milliseconds(3);
     static constexpr absl::Duration HeartbeatInterval = absl::Milliseconds(1500);
 
-    loop_hooks makeHooks(const std::shared_ptr<machine_suspension> &suspension)
+    static constexpr absl::Duration RestartDelay = absl::Seconds(1);
+
+    void endAndRestart(const std::string &name, agent_process *ended)
+    {
+        *ended->alive = false;
+        const auto current = agents.find(name);
+        if (current == agents.end() || current->second.get() != ended)
+            return;
+        agents.erase(current);
+        clock.after(RestartDelay, [this, name] {
+            if (!agents.contains(name))
+                startAgent(name);
+        });
+    }
+
+    loop_hooks makeHooks(const std::string &name,
+                         const std::shared_ptr<machine_suspension> &suspension)
     {
         return {[this, suspension] { return clock.now() - suspension->uncounted; },
-                [this] { return clock.now(); }, [this] { return clock.random(); }};
+                [this, skew = wallSkew[name]] { return clock.now() + skew; },
+                [this] { return fixedRandom ? *fixedRandom : clock.random(); }};
     }
 
     void addWorker(std::size_t number)
