An agent without a usable worker no longer takes back its eviction

What callers saw: jobs that had nothing running for good, although other workers were free (LOST). Found while testing agents whose worker ends.

Cause: an evicted agent sends a heartbeat at once, to be reinstated soon if it still serves its worker. It did so too when it had no announced worker, and sends no other heartbeats then. The decider reinstated it after 0.8 s, evicted it 4 s later, and so on, so the 12.5 s after which its runs are declared lost were never over.

Evidence: runsOfAnAgentThatFindsNoWorkerAreOrderedAgain on the old code: status() Which is: Running, expected job_status::Completed 10.124 entry-0: agent evicted agent-0 no heartbeat for 4s 10.924 entry-0: agent reinstated agent-0 heartbeats received again 14.924 entry-0: agent evicted agent-0 no heartbeat for 4s 15.724 entry-0: agent reinstated agent-0 heartbeats received again and so on until the end of the test at 31 s.

Fix: the heartbeat after an eviction is sent only by an agent with an announced worker, as are all others. The eviction then stands and the runs are declared lost.

--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -296,7 +296,8 @@
             m_evicted = evicted->evicted;
             logDecision(m_evicted ? "evicted" : "reinstated", m_options.agent.str(),
                         absl::StrCat("offset ", stored.offset));
-            if (m_evicted)
+            // A heartbeat reinstates the agent, and one without a usable worker must not be.
+            if (m_evicted && m_announced)
                 sendHeartbeat();
         }
     }
