The notice of a leaving worker no longer counts as the end of its runs

Cause: the agent took the notice as proof that the runs had ended. It dropped them and announced at once that the worker was gone, and the decider ordered them elsewhere within 20 ms. The worker ends only after the answer, or seconds later without one, and the notice may be a delayed one of an earlier incarnation with the same id: its body is empty, so it names no start time.

Fix: after a notice the worker is announced as draining, gets no more lease, and its runs are stopped. The notice is answered when their ends are recorded and acknowledged, at the latest after 0.9 s. The worker counts as gone then, or when another incarnation answers, or at the stored end of the last granted lease with the clock error and LeaseSlack. The end of each run that is still open then is recorded by itself, because a later announcement replaces the one that implies it. A worker that reports on after that is used again.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -34,8 +34,9 @@
 
     /// Handles a heartbeat of the worker.
     void onHeartbeat(const worker_description &worker);
-    /// Handles the notice of the worker that it ends; its runs end with it.
-    void onWorkerLeft(const std::string &worker);
+    /// Handles the notice of the worker that it is about to end. The worker ends after `done` was
+    /// called, which is as soon as its runs have been stopped, or after a short time.
+    void onWorkerLeft(const std::string &worker, std::function<void()> done = {});
 
     /// Reads the journal at once, as the decider has recorded orders for this agent.
     void onWake() { m_follower.wake(); }
@@ -96,6 +97,7 @@
     void onRecords(const std::vector<stored_record> &records);
     void applyRecord(const stored_record &stored, bool stale);
     void onOrdered(const run_ordered &ordered, bool stale);
+    void onOwnAnnouncement(const agent_announced &announced);
     void markEnded(const item_run &run);
     void markUnwanted(const job_id &job);
     void recordSession();
@@ -104,6 +106,11 @@
     /// Handles a new incarnation of the worker: nothing is ordered until its lists of runs were
     /// read.
     void beginWorkerIncarnation();
+    /// Ends the wait for a leaving worker when it runs nothing more or its last lease is over.
+    void checkLeaving();
+    void answerNotices();
+    /// Announces that the worker is gone and that its runs are lost.
+    void endWorker();
 
     // Runs
     void startDue();
@@ -125,6 +132,8 @@
     /// End of the longest lease that is allowed now, in ms on the worker's clock; none if no lease
     /// is allowed.
     std::optional<std::int64_t> leaseUntilMs() const;
+    /// Notes that an order grants a lease until `untilMs` on the worker's clock.
+    void noteGrant(std::int64_t untilMs);
     /// Lease that was granted and the age of the evidence for it, for the log.
     std::string describeLease() const;
     /// Fencing token of the next order.
@@ -142,6 +151,10 @@
     log_writer m_writer;
 
     std::optional<worker_description> m_description;
+    bool m_leaving = false; ///< the worker has given notice that it ends
+    std::vector<std::function<void()>> m_noticeAnswers;
+    absl::Time m_noticeAnswerAt; ///< latest time for the answers to the notices
+    absl::Time m_leaseOverAt;    ///< no lease that this agent granted lasts longer
     bool m_announceDue = false;
     bool m_announcing = false;
     bool m_announced = false;                     ///< for the present incarnation of the worker
@@ -154,7 +167,10 @@
     std::map<item_run, local_run> m_runs;
     std::set<item_run> m_endedRuns;  ///< with a record of their end in the journal
     std::set<item_run> m_voidedRuns; ///< ordered for an earlier incarnation of the worker
-    std::set<job_id> m_endedJobs;    ///< cancelled or failed
+    /// Start time of the worker in the agent's latest announcement that was read from the journal;
+    /// 0 if it said that there is no worker.
+    std::optional<unix_ms> m_announcedStartMs;
+    std::set<job_id> m_endedJobs; ///< cancelled or failed
     std::map<process_id, std::string> m_entryAddresses;
     std::set<std::pair<unit_id, std::uint32_t>> m_stoppingRuns;
 
--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -60,6 +60,8 @@
 
     /// Restarts the worker: all runs end and all earlier orders and tokens are forgotten.
     void restart();
+    /// Restarts the worker under the name `name`. Its start time is off by `clockStep`.
+    void replace(const std::string &name, absl::Duration clockStep);
     const batch::worker_description &description() const { return m_description; }
     void setDraining(batch::unix_ms earliestLeaveMs);
 
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -31,6 +31,10 @@
 /// A worker's leaving time is announced again when it changes by more than this.
 constexpr unix_ms LeavingToleranceMs = 1'000;
 
+/// Longest wait for the runs of a leaving worker to stop before its notice is answered. A stop
+/// takes up to 0.9 s, and callers expect the answer within a second.
+constexpr absl::Duration NoticeAnswerTimeout = absl::Milliseconds(900);
+
 /// Time limit for one answer of the store.
 constexpr absl::Duration StoreTimeout = absl::Milliseconds(1000);
 
@@ -62,6 +66,9 @@
     m_follower.onReachable = [this](bool reachable) {
         logDecision(reachable ? "store regained" : "store lost", "", "");
     };
+    // An earlier process of this agent may have granted a lease until now.
+    m_leaseOverAt = m_hooks.now()
+        + absl::Milliseconds(m_options.longestLeaseMs) / (1.0 - WorkerClockError) + LeaseSlack;
     recordSession();
 }
 
@@ -101,6 +108,7 @@
     }
     if (wantsPoll() && !m_polling && m_hooks.now() >= m_pollAt)
         poll();
+    checkLeaving();
 }
 
 absl::Time batch_agent::nextDeadline() const
@@ -110,6 +118,10 @@
         next = std::min(next, m_heartbeatAt);
     if (wantsPoll() && !m_polling)
         next = std::min(next, m_pollAt);
+    if (!m_noticeAnswers.empty())
+        next = std::min(next, m_noticeAnswerAt);
+    if (m_leaving)
+        next = std::min(next, m_leaseOverAt);
     for (const auto &[id, run] : m_runs) {
         if (m_synced && m_announced && isCurrent(run) && run.unwanted && !run.stopSent
             && run.state == phase::Running)
@@ -125,7 +137,7 @@
     const bool newIncarnation = !m_description
         || m_description->workerStartMs != worker.workerStartMs
         || m_description->worker != worker.worker;
-    if (!newIncarnation && sameAnnouncement(*m_description, worker))
+    if (!newIncarnation && (m_leaving || sameAnnouncement(*m_description, worker)))
         return;
     m_description = worker;
     logDecision(newIncarnation ? "worker found" : "worker changed", worker.worker,
@@ -140,6 +152,8 @@
 void batch_agent::beginWorkerIncarnation()
 {
     ++m_workerIncarnation;
+    m_leaving = false;
+    answerNotices();
     m_announced = false;
     m_announceDue = false;
     m_synced = false;
@@ -154,18 +168,73 @@
     dropOrdersOfEarlierIncarnations();
 }
 
-void batch_agent::onWorkerLeft(const std::string &worker)
+void batch_agent::onWorkerLeft(const std::string &worker, std::function<void()> done)
+{
+    const bool known = m_description && m_description->worker == worker;
+    logDecision(known ? "worker left" : "notice ignored", worker,
+                absl::StrCat(m_runs.size(), " runs, ", describeLease()));
+    if (done)
+        m_noticeAnswers.push_back(std::move(done));
+    if (!known) {
+        answerNotices();
+        return;
+    }
+    if (!m_leaving) {
+        // The runs have not ended yet, and the notice may be a delayed one of an earlier
+        // incarnation. The worker gets no more work and no more lease, and its lists show which
+        // runs have ended.
+        m_leaving = true;
+        m_noticeAnswerAt = m_hooks.now() + NoticeAnswerTimeout;
+        m_announceDue = m_synced && !m_description->draining;
+        m_description->draining = true;
+        for (auto &[id, run] : m_runs)
+            run.unwanted = true;
+        m_pollAt = m_hooks.now();
+    }
+    tick();
+}
+
+void batch_agent::checkLeaving()
 {
-    if (!m_description || m_description->worker != worker)
+    if (!m_leaving)
         return;
-    logDecision("worker left", worker, absl::StrCat(m_runs.size(), " runs, ", describeLease()));
+    const absl::Time now = m_hooks.now();
+    const bool settled
+        = m_synced && m_runs.empty() && m_reportsInFlight == 0 && m_handledEnd <= m_acknowledgedEnd;
+    if (settled || now >= m_noticeAnswerAt)
+        answerNotices();
+    if (settled || now >= m_leaseOverAt)
+        endWorker();
+}
+
+void batch_agent::answerNotices()
+{
+    const std::vector<std::function<void()>> answers = std::move(m_noticeAnswers);
+    m_noticeAnswers.clear();
+    for (const auto &answer : answers)
+        answer();
+}
+
+void batch_agent::endWorker()
+{
+    logDecision("worker ended", m_description->worker,
+                absl::StrCat(m_runs.size(), " runs, ", describeLease()));
+    answerNotices();
+    // The announcement ends these runs too, but a later one replaces it in the store.
+    std::vector<run_ended> ends;
+    for (const auto &[id, run] : m_runs) {
+        if (run.state != phase::Reported)
+            ends.push_back(endOf(id, run_end::Lost, ""));
+    }
+    if (!ends.empty())
+        report(std::move(ends), 0);
+    m_leaving = false;
     m_description.reset();
     m_announced = false;
     m_synced = false;
     ++m_workerIncarnation;
-    m_runs.clear(); // all runs of the worker have ended with it
-    m_announceDue = true;
-    tick();
+    m_runs.clear();
+    announce();
 }
 
 void batch_agent::dropOrdersOfEarlierIncarnations()
@@ -236,6 +305,7 @@
     m_endedJobs.clear();
     m_stoppingRuns.clear();
     m_evicted = false;
+    m_announcedStartMs.reset();
     std::map<item_run, local_run> previousRuns;
     previousRuns.swap(m_runs);
     // Orders are rebuilt from the journal; the known state of their runs is kept.
@@ -287,6 +357,9 @@
     } else if (const auto *started = std::get_if<process_started>(&*decoded)) {
         if (started->isEntry && !started->wakeAddress.empty())
             m_entryAddresses[started->process] = started->wakeAddress;
+    } else if (const auto *announced = std::get_if<agent_announced>(&*decoded)) {
+        if (announced->agent == m_options.agent)
+            onOwnAnnouncement(*announced);
     } else if (const auto *cancelled = std::get_if<job_cancelled>(&*decoded)) {
         markUnwanted(cancelled->job);
     } else if (const auto *failed = std::get_if<job_failed>(&*decoded)) {
@@ -311,7 +384,8 @@
         const item_run id {ordered.unit, member.index, ordered.run};
         if (m_endedRuns.contains(id))
             continue;
-        if (m_description && member.workerStartMs < m_description->workerStartMs) {
+        if ((m_description && member.workerStartMs < m_description->workerStartMs)
+            || (m_announcedStartMs && member.workerStartMs != *m_announcedStartMs)) {
             m_voidedRuns.insert(id);
             continue;
         }
@@ -322,12 +396,26 @@
         run.stale = stale;
         run.workerStartMs = member.workerStartMs;
         run.gang = ordered.gang;
-        run.unwanted = m_endedJobs.contains(ordered.unit.job)
+        run.unwanted = m_leaving || m_endedJobs.contains(ordered.unit.job)
             || m_stoppingRuns.contains({ordered.unit, ordered.run});
         m_runs.try_emplace(id, std::move(run));
     }
 }
 
+void batch_agent::onOwnAnnouncement(const agent_announced &announced)
+{
+    // As in batch_state: orders before the announcement are void unless they name this incarnation.
+    m_announcedStartMs = announced.hasWorker ? announced.worker.workerStartMs : 0;
+    std::erase_if(m_runs, [this](const auto &entry) {
+        const local_run &run = entry.second;
+        const bool isVoid = run.workerStartMs != *m_announcedStartMs && run.state == phase::Ordered
+            && !run.uncertain;
+        if (isVoid)
+            m_voidedRuns.insert(entry.first);
+        return isVoid;
+    });
+}
+
 void batch_agent::markEnded(const item_run &run)
 {
     m_endedRuns.insert(run);
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -69,7 +69,7 @@
 
 std::optional<std::int64_t> batch_agent::leaseUntilMs() const
 {
-    if (!m_workerClockMs || m_evicted)
+    if (!m_workerClockMs || m_evicted || m_leaving)
         return std::nullopt;
     const absl::Time now = m_hooks.now();
     const std::int64_t lease
@@ -81,6 +81,15 @@
     return *m_workerClockMs + static_cast<std::int64_t>(passed) + lease;
 }
 
+void batch_agent::noteGrant(std::int64_t untilMs)
+{
+    m_grantedUntilMs = std::max(m_grantedUntilMs, untilMs);
+    const double leftMs = static_cast<double>(untilMs - m_workerClockMs.value_or(untilMs));
+    m_leaseOverAt = std::max(
+        m_leaseOverAt,
+        m_workerClockReadAt + absl::Milliseconds(leftMs) / (1.0 - WorkerClockError) + LeaseSlack);
+}
+
 std::string batch_agent::describeLease() const
 {
     return absl::StrCat("lease until ", m_grantedUntilMs, " on its clock, which showed ",
@@ -173,7 +182,7 @@
     run.state = phase::Starting;
     run.progressAt = m_hooks.now();
     ++run.startAttempts;
-    m_grantedUntilMs = std::max(m_grantedUntilMs, *until);
+    noteGrant(*until);
     logDecision("start", nameOf(id), absl::StrCat("token ", currentToken(), ", ", describeLease()));
     start_order order;
     order.run = id;
@@ -295,7 +304,8 @@
                                        [](const auto &entry) { return entry.second.uncertain; });
     poll_request request;
     request.leaseUntilMs = leaseUntilMs();
-    m_grantedUntilMs = std::max(m_grantedUntilMs, request.leaseUntilMs.value_or(0));
+    if (request.leaseUntilMs)
+        noteGrant(*request.leaseUntilMs);
     request.fencingToken = currentToken();
     // The worker may have restarted since its last answer, and then numbers its ends anew. Ends
     // that were never read must not be acknowledged by the numbers of the previous incarnation.
--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -101,6 +101,13 @@
     m_description.draining = false;
 }
 
+void fake_item_worker::replace(const std::string &name, absl::Duration clockStep)
+{
+    restart();
+    m_description.worker = name;
+    m_description.workerStartMs += absl::ToInt64Milliseconds(clockStep);
+}
+
 bool fake_item_worker::acceptsToken(std::uint64_t token)
 {
     if (token < m_token)
