A report replaces the worker only after the worker itself has answered

What callers saw: nothing yet.

Cause: the agent took any report that it could decode with a higher start time for a new incarnation of its worker. One report with the id "x", or the right id and a start time in the future, made it drop the runs and ask for a worker that does not exist. All later reports of the worker counted as delayed ones, so the agent never worked again. The same happened to a worker that was replaced after its clock had been set back. The first report after a start of the agent had no check at all.

Fix: a report that names another incarnation than the present one is kept as a candidate. The next poll asks for it by name, without lease and acknowledgement. The worker refuses polls for other names and states its start time, so its answer adopts or refutes the candidate, whatever the order of the start times. The runs of the former worker are given up only then: the answer shows that another one has its address. While a probe is unanswered, polls of the present worker go on in turn. Orders of other incarnations are dropped at the first answer of the present one.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -86,8 +86,9 @@
         std::uint32_t startAttempts = 0;
     };
 
-    /// Drops the orders for earlier incarnations of the worker, as they are void.
-    void dropOrdersOfEarlierIncarnations();
+    /// Drops the orders for other incarnations of the worker. They are void once the present one
+    /// has answered, as it has taken the place of those.
+    void dropOrdersOfOtherIncarnations();
     bool isCurrent(const local_run &run) const;
     void logDecision(const char *decision, const std::string &item,
                      const std::string &detail) const;
@@ -126,6 +127,9 @@
     /// Whether the lease has to be extended or the lists of runs have to be read.
     bool wantsPoll() const;
     void poll();
+    /// Asks the worker whether it is the incarnation of m_candidate.
+    void probe();
+    void onProbe(const worker_description &candidate, const poll_answer &answer);
     void onPoll(const poll_answer &answer, std::uint64_t sentToken, std::uint64_t workerIncarnation,
                 absl::Time sentAt);
     void updateWorkerClock(const std::optional<std::int64_t> &clockMs);
@@ -151,7 +155,11 @@
     log_writer m_writer;
 
     std::optional<worker_description> m_description;
-    bool m_leaving = false; ///< the worker has given notice that it ends
+    /// Another incarnation that a report named. The report may be delayed or of another writer, so
+    /// it replaces m_description only when the worker itself has answered under that name.
+    std::optional<worker_description> m_candidate;
+    bool m_probedLast = false; ///< the last poll was a probe without an answer
+    bool m_leaving = false;    ///< the worker has given notice that it ends
     std::vector<std::function<void()>> m_noticeAnswers;
     absl::Time m_noticeAnswerAt; ///< latest time for the answers to the notices
     absl::Time m_leaseOverAt;    ///< no lease that this agent granted lasts longer
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -132,11 +132,15 @@
 
 void batch_agent::onHeartbeat(const worker_description &worker)
 {
-    if (m_description && worker.workerStartMs < m_description->workerStartMs)
-        return; // sent by an earlier incarnation and delayed
     const bool newIncarnation = !m_description
         || m_description->workerStartMs != worker.workerStartMs
         || m_description->worker != worker.worker;
+    if (m_description && newIncarnation) {
+        m_candidate = worker;
+        m_pollAt = m_hooks.now();
+        tick();
+        return;
+    }
     if (!newIncarnation && (m_leaving || sameAnnouncement(*m_description, worker)))
         return;
     m_description = worker;
@@ -165,7 +169,6 @@
     m_pollAt = m_hooks.now();
     // An order for the previous incarnation may still arrive at this one.
     supersedeOrders();
-    dropOrdersOfEarlierIncarnations();
 }
 
 void batch_agent::onWorkerLeft(const std::string &worker, std::function<void()> done)
@@ -230,6 +233,7 @@
         report(std::move(ends), 0);
     m_leaving = false;
     m_description.reset();
+    m_candidate.reset();
     m_announced = false;
     m_synced = false;
     ++m_workerIncarnation;
@@ -237,13 +241,13 @@
     announce();
 }
 
-void batch_agent::dropOrdersOfEarlierIncarnations()
+void batch_agent::dropOrdersOfOtherIncarnations()
 {
     std::erase_if(m_runs, [this](const auto &entry) {
-        const bool earlier = entry.second.workerStartMs < m_description->workerStartMs;
-        if (earlier)
+        const bool isVoid = !isCurrent(entry.second);
+        if (isVoid)
             m_voidedRuns.insert(entry.first);
-        return earlier;
+        return isVoid;
     });
 }
 
@@ -384,7 +388,7 @@
         const item_run id {ordered.unit, member.index, ordered.run};
         if (m_endedRuns.contains(id))
             continue;
-        if ((m_description && member.workerStartMs < m_description->workerStartMs)
+        if ((m_synced && member.workerStartMs != m_description->workerStartMs)
             || (m_announcedStartMs && member.workerStartMs != *m_announcedStartMs)) {
             m_voidedRuns.insert(id);
             continue;
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -286,12 +286,63 @@
     if (!m_sessionOffset || !m_follower.isLoaded() || m_follower.position() <= *m_sessionOffset
         || !m_description)
         return false;
-    return !m_synced || !m_runs.empty() || m_reportsInFlight != 0
+    return !m_synced || m_candidate || !m_runs.empty() || m_reportsInFlight != 0
         || m_handledEnd > m_acknowledgedEnd;
 }
 
+void batch_agent::probe()
+{
+    m_polling = true;
+    m_probedLast = true;
+    poll_request request;
+    request.fencingToken = currentToken();
+    request.worker = m_candidate->worker;
+    request.deadline = m_hooks.now() + OrderTimeout;
+    request.freshConnection = true;
+    m_worker->poll(std::move(request), [this, candidate = *m_candidate](const poll_answer &answer) {
+        m_polling = false;
+        onProbe(candidate, answer);
+        tick();
+    });
+}
+
+void batch_agent::onProbe(const worker_description &candidate, const poll_answer &answer)
+{
+    m_pollAt = m_hooks.now();
+    if (!m_candidate || !m_description)
+        return;
+    if (answer.outcome != order_outcome::Done && answer.outcome != order_outcome::WorkerRestarted) {
+        if (answer.outcome == order_outcome::StaleToken)
+            supersedeOrders();
+        if (!m_synced)
+            m_pollAt += PollRetryDelay;
+        return;
+    }
+    m_probedLast = false;
+    const unix_ms startMs = answer.workerStartMs.value_or(candidate.workerStartMs);
+    const bool isPresent
+        = candidate.worker == m_description->worker && startMs == m_description->workerStartMs;
+    if (answer.outcome == order_outcome::WorkerRestarted || isPresent) {
+        logDecision("report refuted", candidate.worker,
+                    absl::StrCat("worker incarnation ", candidate.workerStartMs));
+        m_candidate.reset();
+        return;
+    }
+    m_description = candidate;
+    m_description->workerStartMs = startMs;
+    m_candidate.reset();
+    logDecision("worker found", candidate.worker, candidate.draining ? "draining" : "ready");
+    beginWorkerIncarnation();
+}
+
 void batch_agent::poll()
 {
+    // Polls alternate with unanswered probes, so that the lease is still extended.
+    if (m_candidate && !m_probedLast) {
+        probe();
+        return;
+    }
+    m_probedLast = false;
     const absl::Time now = m_hooks.now();
     if (m_reportsInFlight != 0 && m_synced && now - m_lastPollAt < LeaseRenewalInterval) {
         // The worker would answer at once and list the same ends again.
@@ -373,6 +424,8 @@
     }
     m_incarnationConfirmedAt = now;
     const bool firstPoll = !m_synced;
+    if (firstPoll)
+        dropOrdersOfOtherIncarnations();
     bool hasUnknownRuns = false;
     std::set<item_run> listed;
     for (const running_item &runningItem : answer.running) {
--- a/tests/batch_worker_report_test.cpp
+++ b/tests/batch_worker_report_test.cpp
@@ -182,5 +182,172 @@
     EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
 }
 
+// Guards against runs that are given away, and an agent that is idle for ever, because of a report
+// in the name of a worker that does not exist.
+TEST_F(batch_worker_report_test, reportOfAnotherWriterDoesNotReplaceTheWorker)
+{
+    for (const bool sameName : {false, true}) {
+        start(2);
+        const std::string agent = startItem(absl::Seconds(20));
+        ASSERT_NE(agent, "");
+        worker_description odd = workerOf(agent).description();
+        if (!sameName)
+            odd.worker = "x";
+        odd.workerStartMs += 4'000'000;
+        agentOf(agent).onHeartbeat(odd);
+        m_site->clock.runFor(absl::Seconds(40));
+        EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
+        EXPECT_EQ(m_site->history.starts, 1U) << decisions();
+        EXPECT_EQ(status(), job_status::Completed) << decisions();
+    }
+}
+
+// Guards against an agent that stays idle because the first report that it receives names a worker
+// that does not exist.
+TEST_F(batch_worker_report_test, agentFindsItsWorkerAfterAnOddFirstReport)
+{
+    start(1);
+    m_site->kill("agent-0");
+    workerOf("agent-0").faults.unreachable = true;
+    m_site->startAgent("agent-0");
+    worker_description odd = workerOf("agent-0").description();
+    odd.worker = "x";
+    odd.workerStartMs += 4'000'000;
+    agentOf("agent-0").onHeartbeat(odd);
+    workerOf("agent-0").faults.unreachable = false;
+    m_site->clock.runFor(absl::Seconds(5));
+    EXPECT_EQ(startItem(absl::Seconds(20)), "agent-0") << decisions();
+}
+
+// Guards against an agent that ignores its worker for ever because the clock was set back before
+// the worker was replaced.
+TEST_F(batch_worker_report_test, workerWithAnEarlierStartTimeIsUsed)
+{
+    start(2);
+    const std::string agent = startItem(absl::Seconds(20));
+    ASSERT_NE(agent, "");
+    for (auto &[name, worker] : m_site->workers)
+        worker->itemTime = absl::Seconds(1);
+    workerOf(agent).replace("worker-new", -absl::Hours(1));
+    m_site->clock.runFor(absl::Seconds(6));
+    EXPECT_EQ(status(), job_status::Completed) << decisions();
+    for (const auto &[name, worker] : m_site->workers) {
+        if (name != agent)
+            worker->setDraining(0);
+    }
+    m_site->clock.runFor(absl::Seconds(3));
+    m_id = batch_site::idOf(2);
+    EXPECT_EQ(startItem(absl::Seconds(20)), agent) << decisions();
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
+}
+
+// Guards against runs that wait for the end of a lease although another worker has taken the place
+// of the one that ran them.
+TEST_F(batch_worker_report_test, runsOfAReplacedWorkerAreOrderedAgainSoon)
+{
+    start(2);
+    const std::string agent = startItem(absl::Seconds(20));
+    ASSERT_NE(agent, "");
+    for (auto &[name, worker] : m_site->workers)
+        worker->itemTime = absl::Seconds(1);
+    workerOf(agent).replace("worker-new", absl::ZeroDuration());
+    m_site->clock.runFor(absl::Seconds(5));
+    EXPECT_EQ(status(), job_status::Completed) << decisions();
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
+}
+
+// Guards against two runs of one item, and against items that are never run, when workers leave,
+// are replaced or are named by odd and delayed reports while agents and connections fail.
+class batch_worker_report_schedule_test : public testing::TestWithParam<std::uint64_t>
+{ };
+
+TEST_P(batch_worker_report_schedule_test, noItemRunsTwiceOrNever)
+{
+    batch_site site(GetParam(), 4, 2);
+    virtual_clock &clock = site.clock;
+    for (auto &[name, worker] : site.workers) {
+        worker->clockRate = 1.0 - WorkerClockError * clock.uniform();
+        worker->itemTime = absl::Seconds(1 + 5 * clock.uniform());
+    }
+    clock.runFor(StartTime);
+    std::vector<std::string> ids;
+    std::vector<worker_description> earlier;
+    constexpr int FaultSteps = 40;
+    for (int i = 0; i < FaultSteps; ++i) {
+        ids.push_back(batch_site::idOf(1'000 + static_cast<std::uint64_t>(i)));
+        site.submit(absl::StrCat("entry-", clock.random() % 2), ids.back(), "normal",
+                    batch_site::stepOf(1 + clock.random() % 4, 1, clock.uniform() < 0.4));
+        const std::string name = absl::StrCat("agent-", clock.random() % 4);
+        fake_item_worker &worker = *site.workers.at(name);
+        const auto agent = site.agents.find(name);
+        batch_agent *node = agent == site.agents.end() ? nullptr : agent->second->node.get();
+        earlier.push_back(worker.description());
+        switch (clock.random() % 8) {
+        case 0: // leaves, and another one comes; its answer may be lost
+            if (node != nullptr)
+                node->onWorkerLeft(worker.description().worker);
+            clock.after(absl::Seconds(4 * clock.uniform()), [&worker, &clock, i] {
+                const std::string next = clock.uniform() < 0.5 ? worker.description().worker
+                                                               : absl::StrCat("worker-new-", i);
+                worker.replace(next, absl::Seconds(20 * clock.uniform() - 10));
+            });
+            break;
+        case 1: // false or delayed notice
+            if (node != nullptr)
+                node->onWorkerLeft(worker.description().worker);
+            break;
+        case 2: // delayed or odd report
+            if (node != nullptr) {
+                worker_description odd = earlier[clock.random() % earlier.size()];
+                odd.workerStartMs += clock.uniform() < 0.5 ? 0 : 1'000'000;
+                node->onHeartbeat(odd);
+            }
+            break;
+        case 3:
+            worker.replace(absl::StrCat("worker-new-", i),
+                           absl::Seconds(20 * clock.uniform() - 10));
+            break;
+        case 4:
+            worker.faults.unreachable = true;
+            if (node != nullptr && clock.uniform() < 0.5)
+                node->onWorkerLeft(worker.description().worker);
+            clock.after(absl::Seconds(10 * clock.uniform()),
+                        [&worker] { worker.faults.unreachable = false; });
+            break;
+        case 5:
+            worker.faults.executeLate = 0.3;
+            worker.faults.loseAnswers = 0.2;
+            clock.after(absl::Seconds(5), [&worker] {
+                worker.faults.executeLate = 0;
+                worker.faults.loseAnswers = 0;
+            });
+            break;
+        case 6:
+            site.kill(name);
+            clock.after(absl::Seconds(3 * clock.uniform()), [&site, name] {
+                if (!site.agents.contains(name))
+                    site.startAgent(name);
+            });
+            break;
+        default:
+            break;
+        }
+        clock.runFor(absl::Seconds(2 * clock.uniform()));
+    }
+    clock.runFor(absl::Seconds(90));
+    for (const std::string &breach : site.history.breaches)
+        ADD_FAILURE() << breach << "; now " << absl::FormatTime(clock.now()) << "\n"
+                      << site.decisionsAbout(breach.substr(0, breach.find(' ')));
+    const batch_state &state = site.entries.begin()->second->node->state();
+    for (const std::string &id : ids) {
+        const job_state *job = state.find(job_id(id));
+        ASSERT_NE(job, nullptr) << id;
+        EXPECT_EQ(job->status(), job_status::Completed) << site.decisionsAbout(id);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, batch_worker_report_schedule_test,
+                         testing::Range<std::uint64_t>(1, 31));
+
 } // namespace
 } // namespace hyssoppond::batch
