Runs of a worker that died are ordered again while its agent lives

What callers saw: nothing yet; found while testing workers that leave. A job would have had nothing running for good (LOST).

Cause: the decider waits for the end of a run as long as the agent sends heartbeats, and the agent waited for its worker to answer without limit. A worker that died and never came back kept its runs for ever. A worker whose answers were lost did too.

Evidence, on the old code: runsOfAWorkerThatDiedAreOrderedAgain, workerWhoseAnswersAreLostIsNotTakenForDead: status() Which is: Running, expected job_status::Completed

Fix: the agent stores when a worker counts as silent: one longest lease after the first poll that is not answered. From then on it extends no lease, as each poll might still be carried out, and when the last granted lease is over, it ends the worker as it does after a notice. A worker that answers later is found by its next report.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -107,8 +107,11 @@
     /// Handles a new incarnation of the worker: nothing is ordered until its lists of runs were
     /// read.
     void beginWorkerIncarnation();
-    /// Ends the wait for a leaving worker when it runs nothing more or its last lease is over.
-    void checkLeaving();
+    /// Ends the wait for a leaving or silent worker when it runs nothing more or its last lease is
+    /// over.
+    void checkWorker();
+    /// Whether the worker has not answered for so long that a lease from then would be over.
+    bool isSilent() const;
     void answerNotices();
     /// Announces that the worker is gone and that its runs are lost.
     void endWorker();
@@ -190,6 +193,8 @@
     std::uint64_t m_handledEnd = 0;      ///< ends up to this number need no further record
     std::uint64_t m_acknowledgedEnd = 0; ///< ends up to this number may be forgotten there
     absl::Time m_incarnationConfirmedAt = absl::InfinitePast(); ///< last answer to a poll
+    /// When the worker counts as silent unless it answers until then.
+    absl::Time m_silentAt = absl::InfiniteFuture();
     std::uint64_t m_workerIncarnation = 0; ///< counts the worker incarnations seen
     std::uint32_t m_reportsInFlight = 0;
     std::int64_t m_grantedUntilMs = 0; ///< end of the longest lease sent, on the worker's clock
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -108,7 +108,7 @@
     }
     if (wantsPoll() && !m_polling && m_hooks.now() >= m_pollAt)
         poll();
-    checkLeaving();
+    checkWorker();
 }
 
 absl::Time batch_agent::nextDeadline() const
@@ -122,6 +122,8 @@
         next = std::min(next, m_noticeAnswerAt);
     if (m_leaving)
         next = std::min(next, m_leaseOverAt);
+    else if (m_synced && !m_runs.empty())
+        next = std::min(next, std::max(m_silentAt, m_leaseOverAt));
     for (const auto &[id, run] : m_runs) {
         if (m_synced && m_announced && isCurrent(run) && run.unwanted && !run.stopSent
             && run.state == phase::Running)
@@ -164,6 +166,7 @@
     m_handledEnd = 0;
     m_acknowledgedEnd = 0;
     m_incarnationConfirmedAt = absl::InfinitePast();
+    m_silentAt = absl::InfiniteFuture();
     m_workerClockMs.reset();
     m_grantedUntilMs = 0;
     m_pollAt = m_hooks.now();
@@ -197,11 +200,21 @@
     tick();
 }
 
-void batch_agent::checkLeaving()
+bool batch_agent::isSilent() const
 {
+    return m_synced && m_hooks.now() >= m_silentAt;
+}
+
+void batch_agent::checkWorker()
+{
+    const absl::Time now = m_hooks.now();
+    // Without runs nobody waits for the worker, and it is not polled.
+    if (isSilent() && !m_runs.empty() && now >= m_leaseOverAt) {
+        endWorker();
+        return;
+    }
     if (!m_leaving)
         return;
-    const absl::Time now = m_hooks.now();
     const bool settled
         = m_synced && m_runs.empty() && m_reportsInFlight == 0 && m_handledEnd <= m_acknowledgedEnd;
     if (settled || now >= m_noticeAnswerAt)
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -65,11 +65,12 @@
         return;
     m_workerClockMs = clockMs;
     m_workerClockReadAt = m_hooks.now();
+    m_silentAt = absl::InfiniteFuture();
 }
 
 std::optional<std::int64_t> batch_agent::leaseUntilMs() const
 {
-    if (!m_workerClockMs || m_evicted || m_leaving)
+    if (!m_workerClockMs || m_evicted || m_leaving || isSilent())
         return std::nullopt;
     const absl::Time now = m_hooks.now();
     const std::int64_t lease
@@ -351,6 +352,7 @@
     }
     m_polling = true;
     m_lastPollAt = now;
+    m_silentAt = std::min(m_silentAt, now + absl::Milliseconds(m_options.longestLeaseMs));
     const bool uncertain = std::any_of(m_runs.begin(), m_runs.end(),
                                        [](const auto &entry) { return entry.second.uncertain; });
     poll_request request;
--- a/tests/batch_worker_report_test.cpp
+++ b/tests/batch_worker_report_test.cpp
@@ -182,6 +182,35 @@
     EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
 }
 
+// Guards against runs that wait for ever for a worker that died without notice while its agent
+// lives on.
+TEST_F(batch_worker_report_test, runsOfAWorkerThatDiedAreOrderedAgain)
+{
+    start(2);
+    const std::string agent = startItem(absl::Seconds(20));
+    ASSERT_NE(agent, "");
+    workerOf(agent).restart();
+    workerOf(agent).faults.unreachable = true;
+    for (auto &[name, worker] : m_site->workers)
+        worker->itemTime = absl::Seconds(1);
+    m_site->clock.runFor(2 * LongestLease + absl::Seconds(4));
+    EXPECT_EQ(status(), job_status::Completed) << decisions();
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
+}
+
+// Guards against a second run while a worker that no longer answers still receives the polls, and
+// so keeps its lease.
+TEST_F(batch_worker_report_test, workerWhoseAnswersAreLostIsNotTakenForDead)
+{
+    start(2, 1.0 - WorkerClockError);
+    const std::string agent = startItem(absl::Seconds(40));
+    ASSERT_NE(agent, "");
+    workerOf(agent).faults.loseAnswers = 1.0;
+    m_site->clock.runFor(absl::Seconds(90));
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
+    EXPECT_EQ(status(), job_status::Completed) << decisions();
+}
+
 // Guards against runs that are given away, and an agent that is idle for ever, because of a report
 // in the name of a worker that does not exist.
 TEST_F(batch_worker_report_test, reportOfAnotherWriterDoesNotReplaceTheWorker)
