Orders from before an announcement of the worker are read before any is started

Cause: a worker whose agent has announced it as gone can be found again under the same incarnation. Orders that lie before the announcement of its end are void, and the decider has ordered them elsewhere. The agent started one of them when its own new announcement was answered before it had read the former one.

A valid order lies behind it, so no valid start waits.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -168,7 +168,8 @@
     absl::Time m_leaseOverAt;    ///< no lease that this agent granted lasts longer
     bool m_announceDue = false;
     bool m_announcing = false;
-    bool m_announced = false;                     ///< for the present incarnation of the worker
+    bool m_announced = false;            ///< for the present incarnation of the worker
+    std::uint64_t m_announcedOffset = 0; ///< of the first record that made m_announced true
     std::optional<std::uint64_t> m_sessionOffset; ///< offset of the record of this process
     std::uint64_t m_tokenStep = 0;
     bool m_evicted = false;
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -291,8 +291,11 @@
                                                 ", worker incarnation ", announcedStartMs));
                        if (writeResult != write_result::Written)
                            m_announceDue = true;
-                       else if (workerIncarnation == m_workerIncarnation && m_description)
+                       else if (workerIncarnation == m_workerIncarnation && m_description
+                                && !m_announced) {
                            m_announced = true;
+                           m_announcedOffset = offset;
+                       }
                    });
 }
 
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -148,7 +148,8 @@
 
 void batch_agent::startDue()
 {
-    if (!m_synced || m_evicted)
+    // Orders before the announcement may be void; only the records up to it tell.
+    if (!m_synced || m_evicted || m_follower.position() <= m_announcedOffset)
         return;
     std::vector<item_run> due;
     for (const auto &[id, run] : m_runs) {
--- a/tests/batch_worker_report_test.cpp
+++ b/tests/batch_worker_report_test.cpp
@@ -378,5 +378,10 @@
 INSTANTIATE_TEST_SUITE_P(seeds, batch_worker_report_schedule_test,
                          testing::Range<std::uint64_t>(1, 31));
 
+// Guards against a worker that starts what was ordered before it was announced to be gone, when it
+// is announced again before its agent has read that record. The seed has that order of events.
+INSTANTIATE_TEST_SUITE_P(orderBeforeTheAnnouncement, batch_worker_report_schedule_test,
+                         testing::Values<std::uint64_t>(217));
+
 } // namespace
 } // namespace hyssoppond::batch
