--- a/standins/platform/platform_standin.cpp
+++ b/standins/platform/platform_standin.cpp
@@ -107,6 +107,7 @@
         runner->worker->itemTime = absl::Seconds(3);
         runner->port = runner->worker->portTo(m_alive);
         runner->control = agentControl;
+        runner->address = absl::StrCat(host, ":", port);
         http_server_options options;
         options.host = host;
         options.port = port;
@@ -129,6 +130,7 @@
         batch::item_worker_port port;
         std::unique_ptr<http_server> server;
         std::string control;
+        std::string address; ///< HOST:PORT at which it takes orders
         std::uint64_t sequence = 0;
     };
 
@@ -297,6 +299,7 @@
     call.url = "http://" + runner->control + "/-/Instances.Heartbeat/" + worker.worker;
     call.contentType = "application/json";
     call.body = json {{"service", worker.service},
+                      {"address", runner->address},
                       {"zone", worker.zone},
                       {"state", "ready"},
                       {"capacity",
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -16,6 +16,8 @@
       R"("coldLeftMs":0,"capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"],)"
       R"("clockMs":482113,"seq":4,"born":1700000000123})";
 
+const worker_identity Runner {"s", "10.0.0.9:80"};
+
 constexpr const char *Job = R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,)"
                             R"("estimateMs":900,"affinity":"r1-3"},{"count":20,"cpu":2000,)"
                             R"("gpu":1,"gang":true,"sameRack":true,"dependsOn":[0],)"
@@ -104,7 +106,7 @@
 // Guards against a heartbeat in another format that is taken for that of a usable worker.
 TEST(wire_decode_test, heartbeatInAnotherFormatIsRejected)
 {
-    const auto worker = decodeHeartbeat("i-1", Heartbeat, 0);
+    const auto worker = decodeHeartbeat("i-1", Heartbeat, 0, Runner);
     ASSERT_TRUE(worker.has_value());
     EXPECT_EQ(worker->rack, "r1-3");
     EXPECT_EQ(worker->capacity.accelerators, 8);
@@ -112,7 +114,7 @@
     for (const char *body : {"", "7", R"({"service":"s"})",
                              R"({"service":"s","zone":"z","state":"odd","born":1,"capacity":{}})",
                              R"({"service":3,"zone":"z","state":"ready","born":1,"capacity":{}})"})
-        EXPECT_FALSE(decodeHeartbeat("i-1", body, 0).has_value()) << body;
+        EXPECT_FALSE(decodeHeartbeat("i-1", body, 0, Runner).has_value()) << body;
 }
 
 // Guards against a decoder that crashes on damaged bytes.
@@ -121,7 +123,7 @@
     for (std::uint32_t seed = 0; seed < 4'000; ++seed) {
         (void)decodeJob(damaged(Job, seed));
         (void)decodeConfig(damaged(Config, seed));
-        (void)decodeHeartbeat("i-1", damaged(Heartbeat, seed), 0);
+        (void)decodeHeartbeat("i-1", damaged(Heartbeat, seed), 0, Runner);
         (void)decodePollAnswer(damaged(RunLists, seed));
         (void)decodeNewest(damaged(
             R"({"items":[{"key":"config","value":"YWI=","offset":4}],"more":false,"end":6})",
--- /dev/null
+++ b/tests/odd_report_test.cpp
@@ -0,0 +1,157 @@
+/// @file Tests of the adapter with input that another writer may have left. Each names the failure
+/// that it guards against.
+#include "platform/deploy_settings_type.h"
+#include "platform/front_adapter.h"
+#include "platform/json_field_func.h"
+#include "platform/store_adapter.h"
+#include "platform/wire_decode_func.h"
+
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+namespace hyssoppond::platform {
+namespace {
+
+constexpr batch::unix_ms Now = 1'700'000'000'000;
+
+/// Array that is nested `depth` levels deep.
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/// A runner's report with one field replaced by `value`; an empty value drops the field.
+std::string reportWith(const std::string &name, const std::string &value)
+{
+    const std::vector<std::pair<std::string, std::string>> fields {
+        {"service", R"("s")"},
+        {"address", R"("10.0.0.9:80")"},
+        {"zone", R"("z")"},
+        {"state", R"("ready")"},
+        {"born", "1700000000123"},
+        {"capacity", R"({"cpu":16000,"memMb":32768,"gpu":8})"},
+        {"labels", R"(["a","r1-3"])"},
+        {"remainingMs", "0"},
+        {"coldLeftMs", "0"},
+    };
+    std::string body;
+    for (const auto &[field, usual] : fields) {
+        const std::string &content = field == name ? value : usual;
+        if (!content.empty())
+            absl::StrAppend(&body, body.empty() ? "{" : ",", "\"", field, "\":", content);
+    }
+    return body + "}";
+}
+
+bool isAccepted(const std::string &body, const std::string &runnerId = "i-1")
+{
+    return decodeHeartbeat(runnerId, body, Now, {"s", "10.0.0.9:80"}).has_value();
+}
+
+const std::vector<std::string> OddNumbers {"-1",
+                                           "0.5",
+                                           "1e300",
+                                           "1e400",
+                                           "9223372036854775807",
+                                           "1e17",
+                                           "9223372036854775808",
+                                           "18446744073709551616",
+                                           "99999999999999999999",
+                                           "\"7\"",
+                                           "null",
+                                           "[]",
+                                           "NaN",
+                                           "true"};
+
+// Guards against a process that ends or takes much memory because of deeply nested input.
+TEST(odd_report_test, deepNestingIsRejectedEverywhere)
+{
+    for (const std::size_t depth : {100U, 100'000U, 2'000'000U}) {
+        const std::string deep = nested(depth);
+        EXPECT_TRUE(parseJson(deep).is_discarded()) << depth;
+        EXPECT_TRUE(parseJson(deep.substr(0, depth)).is_discarded()) << depth;
+        EXPECT_FALSE(isAccepted(reportWith("coldLeftMs", deep)));
+        EXPECT_FALSE(isAccepted(reportWith("labels", deep)));
+        EXPECT_FALSE(decodeJob(R"({"spec":"","steps":[{"count":1,"x":)" + deep + "}]}"));
+        EXPECT_FALSE(decodeConfig(R"({"version":1,"x":)" + deep + "}"));
+        EXPECT_FALSE(decodePollAnswer(R"({"clockMs":1,"x":)" + deep + "}"));
+        EXPECT_FALSE(decodeNewest(R"({"items":[],"end":1,"x":)" + deep + "}"));
+        EXPECT_FALSE(decodeJoin(R"({"generation":1,"parts":[)" + deep + "]}"));
+        EXPECT_FALSE(parseDeploySettings(R"({"name":"n","zone":"z","x":)" + deep + "}"));
+    }
+    // Brackets inside of strings are not nesting.
+    EXPECT_TRUE(parseJson("\"\\\"" + std::string(1'000, '[') + "\"").is_string());
+    EXPECT_TRUE(parseJson(nested(10)).is_array());
+}
+
+// Guards against an agent that takes up a runner from a report of another writer.
+TEST(odd_report_test, reportThatDoesNotFitTheRunnerIsRejected)
+{
+    EXPECT_TRUE(isAccepted(reportWith("", "")));
+    for (const char *field :
+         {"service", "address", "zone", "state", "born", "capacity", "labels"}) {
+        EXPECT_FALSE(isAccepted(reportWith(field, ""))) << field;
+        for (const char *value : {"7.5", "null", "{}", "[[]]", "\"odd\xff\"", "\"\"", "true"})
+            EXPECT_FALSE(isAccepted(reportWith(field, value))) << field << " " << value;
+    }
+    EXPECT_FALSE(isAccepted(reportWith("service", "\"other\"")));
+    EXPECT_FALSE(isAccepted(reportWith("state", "\"gone\"")));
+    for (const char *address :
+         {"10.0.0.9:70000", "10.0.0.9:-1", "10.0.0.9:99999999999999999999", "10.0.0.9", ":80"})
+        EXPECT_FALSE(isAccepted(reportWith("address", absl::StrCat("\"", address, "\""))))
+            << address;
+    const std::string longText(10'000, 'x');
+    EXPECT_FALSE(isAccepted(reportWith("zone", "\"" + longText + "\"")));
+    EXPECT_FALSE(isAccepted(reportWith("labels", "[\"" + longText + "\"]")));
+    std::string manyLabels = "[\"a\"";
+    for (int i = 0; i < 1'000; ++i)
+        manyLabels += ",\"a\"";
+    EXPECT_FALSE(isAccepted(reportWith("labels", manyLabels + "]")));
+}
+
+// Guards against a header of the orders that is broken up by the id of a runner.
+TEST(odd_report_test, idOfARunnerHasOnlyUsualCharacters)
+{
+    EXPECT_TRUE(isAccepted(reportWith("", ""), "i-7f3a91c2"));
+    for (const std::string &id : {std::string(), std::string("a\r\nX: y"), std::string("a b"),
+                                  std::string("\xff"), std::string(1'000, 'a')})
+        EXPECT_FALSE(isAccepted(reportWith("", ""), id)) << id;
+}
+
+// Guards against numbers that overflow, or that turn into others, in what a runner reports.
+TEST(odd_report_test, numbersOutOfRangeAreRejectedInReports)
+{
+    for (const std::string &number : OddNumbers) {
+        EXPECT_FALSE(isAccepted(reportWith("born", number))) << number;
+        for (const char *amount : {"cpu", "memMb", "gpu"}) {
+            std::string capacity = R"({"cpu":1,"memMb":1,"gpu":1})";
+            const std::string usual = absl::StrCat("\"", amount, "\":1");
+            capacity.replace(capacity.find(usual), usual.size(),
+                             absl::StrCat("\"", amount, "\":", number));
+            EXPECT_FALSE(isAccepted(reportWith("capacity", capacity))) << capacity;
+        }
+        std::string draining = reportWith("state", "\"draining\"");
+        draining.replace(draining.find("\"remainingMs\":0"), 15, "\"remainingMs\":" + number);
+        EXPECT_FALSE(isAccepted(draining)) << number;
+    }
+    for (const char *born : {"0", "5000000000000"})
+        EXPECT_FALSE(isAccepted(reportWith("born", born))) << born;
+}
+
+// Guards against an agent that answers an odd report as if it had used it.
+TEST(odd_report_test, oddReportIsAnsweredWith400)
+{
+    http_request request;
+    request.method = "POST";
+    request.path = "/-/Instances.Heartbeat/i-1";
+    for (const std::string &body : {std::string(), nested(100'000), reportWith("service", "7")}) {
+        request.body = body;
+        int status = 0;
+        handleRunnerReport(request, nullptr, {"s", "10.0.0.9:80"}, Now,
+                           [&](const http_response &response) { status = response.status; });
+        EXPECT_EQ(status, 400);
+    }
+}
+
+} // namespace
+} // namespace hyssoppond::platform
