One odd entry in a worker's lists of runs no longer hides the others

What callers saw: nothing yet; found while going through what other writers may leave.

Cause: a list with one entry of an unexpected form was dropped as a whole, so the agent saw no ends and could not take up its worker (LOST). Numbers were cut to 32 bits, so a run number of 2^32 + 1 counted as run 1, and an end with the number -1 counted as the highest, so that all later ends were taken for handled. A progress of 1e300 was cast to int, which is undefined.

An answer with an entry that could not be read is marked as incomplete: a run that it lacks has neither vanished nor failed to start, no end that it lists is acknowledged yet, and a worker is not taken up with it.

--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -46,6 +46,7 @@
     bool unreachable = false;       ///< neither acts nor answers
     bool resets = false;            ///< connections break at once; orders have no effect
     bool failAll = false;           ///< every item fails at the end of its run
+    bool oddEntries = false;        ///< one entry of each list of runs cannot be read
 };
 
 /// Fake of one worker that runs items.
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -429,7 +429,8 @@
     const bool firstPoll = !m_synced;
     if (firstPoll)
         dropOrdersOfOtherIncarnations();
-    bool hasUnknownRuns = false;
+    // An entry that cannot be read may be any run.
+    bool hasUnknownRuns = !answer.complete;
     std::set<item_run> listed;
     for (const running_item &runningItem : answer.running) {
         const item_run id = resolveListedRun(runningItem.run);
@@ -467,13 +468,15 @@
         if (wanted || (endedItem.how == run_end::Done && m_voidedRuns.contains(id)))
             ends.push_back(endOf(id, endedItem.how, endedItem.checkpoint));
     }
+    if (!answer.complete)
+        newest = 0; // an end that was not read must not be acknowledged
     if (!ends.empty())
         report(std::move(ends), newest);
     else if (m_reportsInFlight == 0)
         m_handledEnd = std::max(m_handledEnd, newest);
     std::vector<item_run> vanished;
     for (auto &[id, run] : m_runs) {
-        if (listed.contains(id) || !isCurrent(run))
+        if (listed.contains(id) || !isCurrent(run) || !answer.complete)
             continue;
         if (run.state == phase::Running && run.progressAt < sentAt)
             vanished.push_back(id);
--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -230,6 +230,13 @@
         answer.running.push_back({asListed(id), "", static_cast<int>(100 * share)});
     }
     answer.ended = m_ended;
+    if (faults.oddEntries) {
+        answer.complete = answer.running.empty() && answer.ended.empty();
+        if (!answer.running.empty())
+            answer.running.pop_back();
+        if (!answer.ended.empty())
+            answer.ended.pop_back();
+    }
     return answer;
 }
 
--- a/tests/batch_worker_report_test.cpp
+++ b/tests/batch_worker_report_test.cpp
@@ -211,6 +211,23 @@
     EXPECT_EQ(status(), job_status::Completed) << decisions();
 }
 
+// Guards against a run that is taken for vanished, or an end that is acknowledged unread, because
+// its entry in the worker's lists cannot be read.
+TEST_F(batch_worker_report_test, runWithAnOddEntryIsNotTakenForEnded)
+{
+    start(2);
+    const std::string agent = startItem(absl::Seconds(6));
+    ASSERT_NE(agent, "");
+    workerOf(agent).faults.oddEntries = true;
+    m_site->clock.runFor(absl::Seconds(8));
+    EXPECT_EQ(m_site->history.done, 0U);
+    workerOf(agent).faults.oddEntries = false;
+    m_site->clock.runFor(absl::Seconds(1));
+    EXPECT_EQ(m_site->history.starts, 1U) << decisions();
+    EXPECT_EQ(m_site->history.done, 1U);
+    EXPECT_EQ(status(), job_status::Completed) << decisions();
+}
+
 // Guards against runs that are given away, and an agent that is idle for ever, because of a report
 // in the name of a worker that does not exist.
 TEST_F(batch_worker_report_test, reportOfAnotherWriterDoesNotReplaceTheWorker)
--- a/tests/odd_report_test.cpp
+++ b/tests/odd_report_test.cpp
@@ -138,6 +138,57 @@
         EXPECT_FALSE(isAccepted(reportWith("born", born))) << born;
 }
 
+// Guards against an agent that sees none of its runs, or takes one for another, because of one odd
+// entry in the lists of the worker.
+TEST(odd_report_test, oddEntriesHideNoOtherRuns)
+{
+    const std::string item = R"("5c0e7a21d94b36f8.0.1.17")";
+    const std::string lists = R"({"clockMs":5,"born":17,"running":[[)" + item
+        + R"(,2,"00ff",41]RUN],"ended":[[58,)" + item + R"(,1,"done",""]END]})";
+    const auto with = [&](const std::string &run, const std::string &end) {
+        std::string text = lists;
+        text.replace(text.find("RUN"), 3, run);
+        text.replace(text.find("END"), 3, end);
+        return decodePollAnswer(text);
+    };
+    const auto usual = with("", "");
+    ASSERT_TRUE(usual.has_value());
+    EXPECT_TRUE(usual->complete);
+    for (const std::string &odd : std::vector<std::string> {
+             std::string("7"), std::string("[]"), "[" + item + R"(,"x","",1])", "[7,7,7,7,7]",
+             "[" + item + R"(,-1,"",1])", "[" + item + R"(,4294967297,"",1])",
+             "[" + item + R"(,0.5,"",1])", "[" + item + R"(,1e300,"",1])"}) {
+        const auto answer = with("," + odd, "");
+        ASSERT_TRUE(answer.has_value()) << odd;
+        EXPECT_FALSE(answer->complete) << odd;
+        EXPECT_EQ(answer->running.size(), 1U) << odd;
+        EXPECT_EQ(answer->ended.size(), 1U) << odd;
+    }
+    for (const std::string &odd : std::vector<std::string> {
+             std::string("7"), std::string("[]"), "[-1," + item + R"(,1,"done",""])",
+             "[18446744073709551615," + item + R"(,1,"done",""])",
+             "[59," + item + R"(,-1,"done",""])", "[59," + item + R"(,1,7,""])"}) {
+        const auto answer = with("", "," + odd);
+        ASSERT_TRUE(answer.has_value()) << odd;
+        EXPECT_FALSE(answer->complete) << odd;
+        EXPECT_EQ(answer->running.size(), 1U) << odd;
+        EXPECT_EQ(answer->ended.size(), 1U) << odd;
+    }
+    for (const char *percent : {"1e300", "-1e300", "\"x\"", "99999999999999999999"}) {
+        const auto answer = with(","
+                                 "[" + item
+                                     + R"(,3,"",)" + percent + "]",
+                                 "");
+        ASSERT_TRUE(answer.has_value()) << percent;
+        ASSERT_EQ(answer->running.size(), 2U) << percent;
+        EXPECT_GE(answer->running[1].percent, 0) << percent;
+        EXPECT_LE(answer->running[1].percent, 100) << percent;
+    }
+    EXPECT_FALSE(decodePollAnswer(R"({"running":{},"ended":[]})")->complete);
+    EXPECT_FALSE(parseTaskName("5c0e7a21d94b36f8.+0.1.17", 1).has_value());
+    EXPECT_FALSE(parseTaskName("5c0e7a21d94b36f8.0.1. 17", 1).has_value());
+}
+
 // Guards against an agent that answers an odd report as if it had used it.
 TEST(odd_report_test, oddReportIsAnsweredWith400)
 {
