One odd item no longer hides a topic, and odd policy numbers count as absent

Cause: a page of the newest records was dropped as a whole if one item had a wrong type, a value that is no base64 or a key that is not UTF-8, and was then read again for ever, so that the process never loaded the topic. A configuration with a maxAttempts of 2^32 gave 0 attempts, with which each job fails at its first failure; negative goals and guarantees were used as they were.

Fix: items are decoded one by one. Bytes that are not UTF-8 are replaced before a second try, since only keys can hold them. A page with further ones to come but without any readable item is still refused, as the rest would be taken for absent. Numbers of the configuration have ranges and count as absent beyond them.

--- a/tests/odd_report_test.cpp
+++ b/tests/odd_report_test.cpp
@@ -189,6 +189,57 @@
     EXPECT_FALSE(parseTaskName("5c0e7a21d94b36f8.0.1. 17", 1).has_value());
 }
 
+// Guards against a process that cannot load a topic because of one odd key or item in it.
+TEST(odd_report_test, oddItemHidesNoOtherItemsOfATopic)
+{
+    const std::string usual = R"({"key":"config","value":"YWI=","offset":4})";
+    for (const std::string &odd :
+         {std::string("7"), std::string("{}"), std::string(R"({"key":7,"value":"","offset":3})"),
+          std::string(R"({"key":"a","value":"?","offset":3})"),
+          std::string(R"({"key":"a","value":"","offset":-1})"),
+          std::string(R"({"key":"a","value":"","offset":1e300})"),
+          std::string("{\"key\":\"a\xff\xc0\",\"value\":7,\"offset\":3}")}) {
+        const auto page = decodeNewest(R"({"items":[)" + odd + "," + usual + R"(],"end":6})");
+        ASSERT_TRUE(page.has_value()) << odd;
+        ASSERT_EQ(page->records.size(), 1U) << odd;
+        EXPECT_EQ(page->records[0].key, "config") << odd;
+        EXPECT_EQ(page->records[0].value, "ab") << odd;
+    }
+    EXPECT_FALSE(decodeNewest(R"({"items":[7],"more":true,"end":6})").has_value());
+    for (const char *end : {"-1", "1e300", "18446744073709551616", "\"6\""})
+        EXPECT_FALSE(decodeNewest(absl::StrCat(R"({"items":[],"end":)", end, "}"))) << end;
+}
+
+// Guards against an entry that takes itself for the decider because of a partition out of range.
+TEST(odd_report_test, partitionOutOfRangeIsNotPartitionZero)
+{
+    for (const char *partition : {"4294967296", "-4294967296", "1e300", "0.5", "\"0\"", "[]"}) {
+        const auto join = decodeJoin(
+            absl::StrCat(R"({"generation":3,"parts":[["t",)", partition, R"(,0],["t",7,0]]})"));
+        ASSERT_TRUE(join.has_value()) << partition;
+        EXPECT_EQ(join->partitions, std::vector<std::uint32_t> {7}) << partition;
+    }
+}
+
+// Guards against a configuration with numbers that turn into others when they are narrowed.
+TEST(odd_report_test, oddNumbersOfAConfigurationCountAsAbsent)
+{
+    for (const char *number : {"-1", "4294967296", "1e300", "99999999999999999999"}) {
+        const auto config = decodeConfig(absl::StrCat(
+            R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","service":"s",)",
+            R"("priority":)", number, R"(,"maxAttempts":)", number, R"(,"stretch":)", number,
+            R"(,"targetLatencyMs":)", number, R"(}],"tenants":[{"name":"t","guaranteed":{"gpu":)",
+            number, "}}]}"));
+        ASSERT_TRUE(config.has_value()) << number;
+        ASSERT_EQ(config->queues.size(), 1U) << number;
+        EXPECT_EQ(config->queues[0].priority, 0) << number;
+        EXPECT_EQ(config->queues[0].maxAttempts, 1U) << number;
+        EXPECT_DOUBLE_EQ(config->queues[0].stretch, 1.0) << number;
+        EXPECT_EQ(config->queues[0].latencyGoalMs, 0) << number;
+        EXPECT_EQ(config->teams[0].guaranteedAccelerators, 0) << number;
+    }
+}
+
 // Guards against an agent that answers an odd report as if it had used it.
 TEST(odd_report_test, oddReportIsAnsweredWith400)
 {
