Lists that are null count as empty

The workers give an empty list as null, so their answers counted as incomplete and no agent took up its worker. The partitions in the answer to a join may be null likewise.

--- a/tests/odd_report_test.cpp
+++ b/tests/odd_report_test.cpp
@@ -185,6 +185,8 @@
         EXPECT_LE(answer->running[1].percent, 100) << percent;
     }
     EXPECT_FALSE(decodePollAnswer(R"({"running":{},"ended":[]})")->complete);
+    EXPECT_TRUE(decodePollAnswer(R"({"running":null,"ended":null})")->complete);
+    EXPECT_TRUE(decodePollAnswer(R"({"clockMs":5})")->complete);
     EXPECT_FALSE(parseTaskName("5c0e7a21d94b36f8.+0.1.17", 1).has_value());
     EXPECT_FALSE(parseTaskName("5c0e7a21d94b36f8.0.1. 17", 1).has_value());
 }
@@ -219,6 +221,12 @@
         ASSERT_TRUE(join.has_value()) << partition;
         EXPECT_EQ(join->partitions, std::vector<std::uint32_t> {7}) << partition;
     }
+    for (const char *none : {R"({"generation":3})", R"({"generation":3,"parts":null})"}) {
+        const auto join = decodeJoin(none);
+        ASSERT_TRUE(join.has_value()) << none;
+        EXPECT_EQ(join->generation, 3U) << none;
+        EXPECT_TRUE(join->partitions.empty()) << none;
+    }
 }
 
 // Guards against a configuration with numbers that turn into others when they are narrowed.
