A job whose units would not fit into memory is refused

What callers saw: nothing yet; found while going through what callers may send.

Cause: steps, items and occurrences were bounded one by one. 64 steps of 10,000 items, 1,000 times, make 640 million units of some 200 bytes, on machines of 260 MB. Labels of a step and its list of steps had no limit of their own, so a record could be larger than the store accepts, and held up the entry's other records for 1.5 s.

Evidence: batch_check_test.refusesJobsThatTakeTooMuchMemory on the old code: checkJob(job).has_value() Actual: true Expected: false for the units, both labels and the list.

Fix: a job has at most 50,000 units over all steps and occurrences, a gang counting as one; a label has at most 256 bytes and a step names at most 64 others.

Result: batch_test 115 of 115. The limit was not measured on a machine of 260 MB.

--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -44,6 +44,9 @@
 constexpr std::size_t MaxSteps = 64;
 constexpr std::uint32_t MaxItemsPerStep = 10'000;
 constexpr std::uint32_t MaxOccurrences = 1'000;
+/// Each unit takes some 200 bytes at every entry for as long as the job is kept.
+constexpr std::uint64_t MaxUnits = 50'000;
+constexpr std::size_t MaxLabelBytes = 256;
 
 } // namespace
 
@@ -59,6 +62,7 @@
         return invalid("the job repeats more than 1000 times; submit several jobs");
     if (job.repeats > 0 && job.intervalMs < 0)
         return invalid("the interval between two occurrences is negative; set 0 ms or more");
+    std::uint64_t units = 0;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
         const batch_step &step = job.steps[i];
         if (step.count == 0 || step.count > MaxItemsPerStep)
@@ -67,6 +71,16 @@
         if (step.item.cpuMilli < 0 || step.item.memoryMb < 0 || step.item.accelerators < 0)
             return invalid(absl::StrCat(
                 "step ", i, " asks for a negative amount of a resource; set 0 or more"));
+        if (step.requiredLabel.size() > MaxLabelBytes || step.dataRack.size() > MaxLabelBytes)
+            return invalid(
+                absl::StrCat("a label of step ", i, " is longer than 256 bytes; shorten it"));
+        if (step.dependsOn.size() > MaxSteps)
+            return invalid(
+                absl::StrCat("step ", i, " depends on more than 64 steps; name each step once"));
+        units += std::uint64_t {unitCount(step)} * job.occurrences();
+        if (units > MaxUnits)
+            return invalid("the job has more than 50000 items over all its occurrences, where a "
+                           "gang counts as one; submit several jobs");
         for (const std::uint32_t earlier : step.dependsOn) {
             if (earlier >= i)
                 return invalid(absl::StrCat(
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -414,6 +414,28 @@
     EXPECT_FALSE(checkJob(job).has_value());
 }
 
+// Guards against a job that takes more memory at every entry than there is, or a record larger than
+// the store accepts, which holds up all others of the entry.
+TEST(batch_check_test, refusesJobsThatTakeTooMuchMemory)
+{
+    batch_job job;
+    job.steps.push_back(batch_site::stepOf(10'000, 1, false));
+    EXPECT_TRUE(checkJob(job).has_value());
+    job.repeats = 1'000;
+    EXPECT_FALSE(checkJob(job).has_value());
+    job.steps[0].gang = true;
+    EXPECT_TRUE(checkJob(job).has_value());
+    job.steps[0].requiredLabel = std::string(300, 'x');
+    EXPECT_FALSE(checkJob(job).has_value());
+    job.steps[0].requiredLabel.clear();
+    job.steps[0].dataRack = std::string(300, 'x');
+    EXPECT_FALSE(checkJob(job).has_value());
+    job.steps[0].dataRack.clear();
+    job.steps.push_back(batch_site::stepOf(1, 1, false));
+    job.steps[1].dependsOn.assign(100, 0);
+    EXPECT_FALSE(checkJob(job).has_value());
+}
+
 // Guards against two runs of one item at the same time, and against a run of an item that has
 // completed, under random faults of all kinds.
 class batch_schedule_test : public testing::TestWithParam<std::uint64_t>
