--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -34,8 +34,9 @@
 
     /// Handles a heartbeat of the worker.
     void onHeartbeat(const worker_description &worker);
-    /// Handles the notice of the worker that it ends; its runs end with it.
-    void onWorkerLeft(const std::string &worker);
+    /// Handles the notice of the worker that it is about to end. The worker ends after `done` was
+    /// called, which is as soon as its runs have been stopped, or after a short time.
+    void onWorkerLeft(const std::string &worker, std::function<void()> done = {});
 
     /// Reads the journal at once, as the decider has recorded orders for this agent.
     void onWake() { m_follower.wake(); }
@@ -90,9 +91,9 @@
         std::uint32_t startAttempts = 0;
     };
 
-    /// Notes that the present incarnation of the worker has answered. All orders for others are
-    /// void.
-    void confirmIncarnation();
+    /// Drops the orders for other incarnations of the worker. They are void once the present one
+    /// has answered, as it has taken the place of those.
+    void dropOrdersOfOtherIncarnations();
     bool isCurrent(const local_run &run) const;
     void logDecision(const char *decision, const std::string &item,
                      const std::string &detail) const;
@@ -102,6 +103,7 @@
     void onRecords(const std::vector<stored_record> &records);
     void applyRecord(const stored_record &stored, bool stale);
     void onOrdered(const run_ordered &ordered, bool stale);
+    void onOwnAnnouncement(const agent_announced &announced);
     void markEnded(const item_run &run);
     /// Forgets the unread ends that were handed over since.
     void pruneUnreadEnds();
@@ -121,6 +123,14 @@
     /// Handles a new incarnation of the worker: nothing is ordered until its lists of runs were
     /// read.
     void beginWorkerIncarnation();
+    /// Ends the wait for a leaving or silent worker when it runs nothing more or its last lease is
+    /// over.
+    void checkWorker();
+    /// Whether the worker has not answered for so long that a lease from then would be over.
+    bool isSilent() const;
+    void answerNotices();
+    /// Announces that the worker is gone and that its runs are lost.
+    void endWorker();
 
     // Runs
     void startDue();
@@ -136,12 +146,17 @@
     /// Whether the lease has to be extended or the lists of runs have to be read.
     bool wantsPoll() const;
     void poll();
+    /// Asks the worker whether it is the incarnation of m_candidate.
+    void probe();
+    void onProbe(const worker_description &candidate, const poll_answer &answer);
     void onPoll(const poll_answer &answer, std::uint64_t sentToken, std::uint64_t workerIncarnation,
                 absl::Time sentAt);
     void updateWorkerClock(const std::optional<std::int64_t> &clockMs);
     /// End of the longest lease that is allowed now, in ms on the worker's clock; none if no lease
     /// is allowed.
     std::optional<std::int64_t> leaseUntilMs() const;
+    /// Notes that an order grants a lease until `untilMs` on the worker's clock.
+    void noteGrant(std::int64_t untilMs);
     /// Lease that was granted and the age of the evidence for it, for the log.
     std::string describeLease() const;
     /// Fencing token of the next order.
@@ -159,14 +174,18 @@
     log_writer m_writer;
 
     std::optional<worker_description> m_description;
-    /// Last report by an incarnation with an earlier start, which may be delayed or present.
-    std::optional<worker_description> m_doubtfulReport;
-    absl::Time m_doubtfulReportAt;
-    /// Start of the present incarnation, once its lists of runs were read.
-    std::optional<unix_ms> m_confirmedStartMs;
+    /// Another incarnation that a report named. The report may be delayed or of another writer, so
+    /// it replaces m_description only when the worker itself has answered under that name.
+    std::optional<worker_description> m_candidate;
+    bool m_probedLast = false; ///< the last poll was a probe without an answer
+    bool m_leaving = false;    ///< the worker has given notice that it ends
+    std::vector<std::function<void()>> m_noticeAnswers;
+    absl::Time m_noticeAnswerAt; ///< latest time for the answers to the notices
+    absl::Time m_leaseOverAt;    ///< no lease that this agent granted lasts longer
     bool m_announceDue = false;
     bool m_announcing = false;
-    bool m_announced = false;                     ///< for the present incarnation of the worker
+    bool m_announced = false;            ///< for the present incarnation of the worker
+    std::uint64_t m_announcedOffset = 0; ///< of the first record that made m_announced true
     std::optional<std::uint64_t> m_sessionOffset; ///< offset of the record of this process
     bool m_sessionConfirmed = false;              ///< the journal was read up to that record
     bool m_recordingSession = false;
@@ -186,7 +205,10 @@
     /// earlier lacks them.
     std::map<item_run, std::uint64_t> m_unreadEnds;
     std::set<item_run> m_voidedRuns; ///< ordered for an earlier incarnation of the worker
-    std::set<job_id> m_endedJobs;    ///< cancelled or failed
+    /// Start time of the worker in the agent's latest announcement that was read from the journal;
+    /// 0 if it said that there is no worker.
+    std::optional<unix_ms> m_announcedStartMs;
+    std::set<job_id> m_endedJobs; ///< cancelled or failed
     std::map<process_id, std::string> m_entryAddresses;
     std::set<std::pair<unit_id, std::uint32_t>> m_stoppingRuns;
 
@@ -198,6 +220,8 @@
     std::uint64_t m_handledEnd = 0;      ///< ends up to this number need no further record
     std::uint64_t m_acknowledgedEnd = 0; ///< ends up to this number may be forgotten there
     absl::Time m_incarnationConfirmedAt = absl::InfinitePast(); ///< last answer to a poll
+    /// When the worker counts as silent unless it answers until then.
+    absl::Time m_silentAt = absl::InfiniteFuture();
     std::uint64_t m_workerIncarnation = 0; ///< counts the worker incarnations seen
     std::uint32_t m_reportsInFlight = 0;
     std::int64_t m_grantedUntilMs = 0; ///< end of the longest lease sent, on the worker's clock
--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -46,6 +46,7 @@
     bool unreachable = false;       ///< neither acts nor answers
     bool resets = false;            ///< connections break at once; orders have no effect
     bool failAll = false;           ///< every item fails at the end of its run
+    bool oddEntries = false;        ///< one entry of each list of runs cannot be read
 };
 
 /// Fake of one worker that runs items.
@@ -60,6 +61,8 @@
 
     /// Restarts the worker: all runs end and all earlier orders and tokens are forgotten.
     void restart();
+    /// Restarts the worker under the name `name`. Its start time is off by `clockStep`.
+    void replace(const std::string &name, absl::Duration clockStep);
     const batch::worker_description &description() const { return m_description; }
     void setDraining(batch::unix_ms earliestLeaveMs);
 
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -65,11 +65,12 @@
         return;
     m_workerClockMs = clockMs;
     m_workerClockReadAt = m_hooks.now();
+    m_silentAt = absl::InfiniteFuture();
 }
 
 std::optional<std::int64_t> batch_agent::leaseUntilMs() const
 {
-    if (!m_workerClockMs || m_evicted)
+    if (!m_workerClockMs || m_evicted || m_leaving || isSilent())
         return std::nullopt;
     const absl::Time now = m_hooks.now();
     const std::int64_t lease
@@ -81,6 +82,15 @@
     return *m_workerClockMs + static_cast<std::int64_t>(passed) + lease;
 }
 
+void batch_agent::noteGrant(std::int64_t untilMs)
+{
+    m_grantedUntilMs = std::max(m_grantedUntilMs, untilMs);
+    const double leftMs = static_cast<double>(untilMs - m_workerClockMs.value_or(untilMs));
+    m_leaseOverAt = std::max(
+        m_leaseOverAt,
+        m_workerClockReadAt + absl::Milliseconds(leftMs) / (1.0 - WorkerClockError) + LeaseSlack);
+}
+
 std::string batch_agent::describeLease() const
 {
     return absl::StrCat("lease until ", m_grantedUntilMs, " on its clock, which showed ",
@@ -139,7 +149,8 @@
 
 void batch_agent::startDue()
 {
-    if (!m_synced || m_evicted)
+    // Orders before the announcement may be void; only the records up to it tell.
+    if (!m_synced || m_evicted || m_follower.position() <= m_announcedOffset)
         return;
     std::vector<item_run> due;
     for (const auto &[id, run] : m_runs) {
@@ -174,7 +185,7 @@
     run.state = phase::Starting;
     run.progressAt = m_hooks.now();
     ++run.startAttempts;
-    m_grantedUntilMs = std::max(m_grantedUntilMs, *until);
+    noteGrant(*until);
     logDecision("start", nameOf(id), absl::StrCat("token ", currentToken(), ", ", describeLease()));
     start_order order;
     order.run = id;
@@ -279,12 +290,63 @@
     // Runs without an order can be recognized only when all orders before this session are known.
     if (!m_sessionConfirmed || !m_follower.isLoaded() || !m_description)
         return false;
-    return !m_synced || m_doubtfulReport || !m_runs.empty() || m_reportsInFlight != 0
+    return !m_synced || m_candidate || !m_runs.empty() || m_reportsInFlight != 0
         || m_handledEnd > m_acknowledgedEnd;
 }
 
+void batch_agent::probe()
+{
+    m_polling = true;
+    m_probedLast = true;
+    poll_request request;
+    request.fencingToken = currentToken();
+    request.worker = m_candidate->worker;
+    request.deadline = m_hooks.now() + OrderTimeout;
+    request.freshConnection = true;
+    m_worker->poll(std::move(request), [this, candidate = *m_candidate](const poll_answer &answer) {
+        m_polling = false;
+        onProbe(candidate, answer);
+        tick();
+    });
+}
+
+void batch_agent::onProbe(const worker_description &candidate, const poll_answer &answer)
+{
+    m_pollAt = m_hooks.now();
+    if (!m_candidate || !m_description)
+        return;
+    if (answer.outcome != order_outcome::Done && answer.outcome != order_outcome::WorkerRestarted) {
+        if (answer.outcome == order_outcome::StaleToken)
+            supersedeOrders();
+        if (!m_synced)
+            m_pollAt += PollRetryDelay;
+        return;
+    }
+    m_probedLast = false;
+    const unix_ms startMs = answer.workerStartMs.value_or(candidate.workerStartMs);
+    const bool isPresent
+        = candidate.worker == m_description->worker && startMs == m_description->workerStartMs;
+    if (answer.outcome == order_outcome::WorkerRestarted || isPresent) {
+        logDecision("report refuted", candidate.worker,
+                    absl::StrCat("worker incarnation ", candidate.workerStartMs));
+        m_candidate.reset();
+        return;
+    }
+    m_description = candidate;
+    m_description->workerStartMs = startMs;
+    m_candidate.reset();
+    logDecision("worker found", candidate.worker, candidate.draining ? "draining" : "ready");
+    beginWorkerIncarnation();
+}
+
 void batch_agent::poll()
 {
+    // Polls alternate with unanswered probes, so that the lease is still extended.
+    if (m_candidate && !m_probedLast) {
+        probe();
+        return;
+    }
+    m_probedLast = false;
     const absl::Time now = m_hooks.now();
     if (m_reportsInFlight != 0 && m_synced && now - m_lastPollAt < LeaseRenewalInterval) {
         // The worker would answer at once and list the same ends again.
@@ -293,18 +355,20 @@
     }
     m_polling = true;
     m_lastPollAt = now;
+    m_silentAt = std::min(m_silentAt, now + absl::Milliseconds(m_options.longestLeaseMs));
     const bool uncertain = std::any_of(m_runs.begin(), m_runs.end(),
                                        [](const auto &entry) { return entry.second.uncertain; });
     poll_request request;
     request.leaseUntilMs = leaseUntilMs();
-    m_grantedUntilMs = std::max(m_grantedUntilMs, request.leaseUntilMs.value_or(0));
+    if (request.leaseUntilMs)
+        noteGrant(*request.leaseUntilMs);
     request.fencingToken = currentToken();
     // The worker may have restarted since its last answer, and then numbers its ends anew. Ends
     // that were never read must not be acknowledged by the numbers of the previous incarnation.
     const bool incarnationConfirmed = now - m_incarnationConfirmedAt < IncarnationConfirmedFor;
     request.acknowledgedEnd = incarnationConfirmed ? m_handledEnd : 0;
-    const bool mayWait = m_synced && !m_doubtfulReport && !uncertain && m_reportsInFlight == 0
-        && incarnationConfirmed && m_handledEnd == m_acknowledgedEnd;
+    const bool mayWait = m_synced && !uncertain && m_reportsInFlight == 0 && incarnationConfirmed
+        && m_handledEnd == m_acknowledgedEnd;
     request.wait = mayWait ? PollWait : absl::ZeroDuration();
     request.worker = m_description->worker;
     request.deadline = now + request.wait + OrderTimeout;
@@ -355,13 +419,6 @@
         }
         m_pollOnFreshConnection = answer.outcome == order_outcome::NoAnswer;
         m_pollAt = now + PollRetryDelay;
-        if (answer.outcome == order_outcome::WorkerRestarted && m_doubtfulReport
-            && workerIncarnation == m_workerIncarnation) {
-            // The known worker is gone, so the report of another one is not a delayed one.
-            m_description = *m_doubtfulReport;
-            logDecision("worker found", m_description->worker, "the one before is gone");
-            beginWorkerIncarnation();
-        }
         return;
     }
     if (!m_description || workerIncarnation != m_workerIncarnation)
@@ -373,11 +430,11 @@
         return;
     }
     m_incarnationConfirmedAt = now;
-    confirmIncarnation();
-    if (sentAt >= m_doubtfulReportAt)
-        m_doubtfulReport.reset();
     const bool firstPoll = !m_synced;
-    bool hasUnknownRuns = false;
+    if (firstPoll)
+        dropOrdersOfOtherIncarnations();
+    // An entry that cannot be read may be any run.
+    bool hasUnknownRuns = !answer.complete;
     std::set<item_run> listed;
     for (const running_item &runningItem : answer.running) {
         const item_run id = resolveListedRun(runningItem.run);
@@ -415,13 +472,15 @@
         if (wanted || (endedItem.how == run_end::Done && m_voidedRuns.contains(id)))
             ends.push_back(endOf(id, endedItem.how, endedItem.checkpoint));
     }
+    if (!answer.complete)
+        newest = 0; // an end that was not read must not be acknowledged
     if (!ends.empty())
         report(std::move(ends), newest);
     else if (m_reportsInFlight == 0)
         m_handledEnd = std::max(m_handledEnd, newest);
     std::vector<item_run> vanished;
     for (auto &[id, run] : m_runs) {
-        if (listed.contains(id) || !isCurrent(run))
+        if (listed.contains(id) || !isCurrent(run) || !answer.complete)
             continue;
         if (run.state == phase::Running && run.progressAt < sentAt)
             vanished.push_back(id);
--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -105,6 +105,13 @@
     m_description.draining = false;
 }
 
+void fake_item_worker::replace(const std::string &name, absl::Duration clockStep)
+{
+    restart();
+    m_description.worker = name;
+    m_description.workerStartMs += absl::ToInt64Milliseconds(clockStep);
+}
+
 bool fake_item_worker::acceptsToken(std::uint64_t token)
 {
     if (token < m_token)
@@ -227,6 +234,13 @@
         answer.running.push_back({asListed(id), "", static_cast<int>(100 * share)});
     }
     answer.ended = m_ended;
+    if (faults.oddEntries) {
+        answer.complete = answer.running.empty() && answer.ended.empty();
+        if (!answer.running.empty())
+            answer.running.pop_back();
+        if (!answer.ended.empty())
+            answer.ended.pop_back();
+    }
     return answer;
 }
 
