Fake item worker: late orders as the users' pages describe them

Batch tests that rest on the fake worker let three cases pass that the pages forbid:

- a late order was dropped if the connection was cut when it was due.
It has arrived by then, so it is carried out;
- the lease in a start that is refused as `old` was not taken;
- two runs of one item on the same worker were no breach.

New for tests: a fixed delay of late orders, a start that takes time to arrive, and single processes without datagrams.

--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -6,14 +6,15 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace hyssoppond {
 
-/// Records which items all workers of a test ran, and every breach: an item that runs on two
-/// workers at once, and an item that starts after its end as Done was acknowledged.
+/// Records which items all workers of a test ran, and every breach: an item that runs twice at
+/// once, and an item that starts after its end as Done was acknowledged.
 class item_history
 {
 public:
@@ -33,19 +34,21 @@
 
 private:
     virtual_clock *m_clock;
-    std::map<std::string, std::set<std::string>> m_running;
+    std::map<std::string, std::multiset<std::string>> m_running; ///< workers, by item
     std::set<std::string> m_done;
 };
 
 /// Faults of one fake item worker and of the connection to it. Shares are 0 to 1.
 struct item_worker_faults
 {
-    double loseAnswers = 0.0;       ///< share of orders carried out without an answer
-    double executeLate = 0.0;       ///< share of orders carried out 2 to 12 s later, unanswered
-    bool grantsFromArrival = false; ///< a late order's lease counts from its arrival
-    bool unreachable = false;       ///< neither acts nor answers
-    bool resets = false;            ///< connections break at once; orders have no effect
-    bool failAll = false;           ///< every item fails at the end of its run
+    double loseAnswers = 0.0; ///< share of orders carried out without an answer
+    double executeLate = 0.0; ///< share of orders carried out 2 to 12 s later, unanswered
+    std::optional<absl::Duration> lateBy; ///< how much later, in place of a random time
+    bool grantsFromArrival = false;       ///< a late order's lease counts from its arrival
+    absl::Duration startTransit;          ///< time until a start arrives
+    bool unreachable = false;             ///< neither acts nor answers
+    bool resets = false;                  ///< connections break at once; orders have no effect
+    bool failAll = false;                 ///< every item fails at the end of its run
 };
 
 /// Fake of one worker that runs items.
--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -2,6 +2,7 @@
 #include "hyssoppond/fakes/fake_item_worker_base.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 
@@ -43,16 +44,19 @@
     if (m_done.contains(item))
         breaches.push_back(absl::StrCat(item, " started on ", worker, " after it was done, at ",
                                         absl::FormatTime(m_clock->now())));
-    std::set<std::string> &running = m_running[item];
+    std::multiset<std::string> &running = m_running[item];
     running.insert(worker);
     if (running.size() > 1)
-        breaches.push_back(absl::StrCat(item, " runs on ", running.size(), " workers at ",
+        breaches.push_back(absl::StrCat(item, " runs ", running.size(), " times, on ",
+                                        absl::StrJoin(running, " and "), ", at ",
                                         absl::FormatTime(m_clock->now())));
 }
 
 void item_history::ended(const std::string &item, const std::string &worker)
 {
-    m_running[item].erase(worker);
+    std::multiset<std::string> &running = m_running[item];
+    if (const auto found = running.find(worker); found != running.end())
+        running.erase(found);
 }
 
 void item_history::endAcknowledged(const std::string &item, run_end runEnd)
@@ -167,8 +171,10 @@
         return {order_outcome::Done, clockMs()};
     }
     const auto highestEnded = m_highestEndedRun.find(item);
-    if (highestEnded != m_highestEndedRun.end() && order.run.run <= highestEnded->second)
+    if (highestEnded != m_highestEndedRun.end() && order.run.run <= highestEnded->second) {
+        extend(leaseEndMs); // the lease is taken from a refused start, too
         return {order_outcome::StaleRun, clockMs()};
+    }
     if (leaseEndMs <= clockMs())
         return {order_outcome::LeaseExpired, clockMs()};
     extend(leaseEndMs);
@@ -272,11 +278,13 @@
             return;
         }
         if (m_clock->uniform() < faults.executeLate) {
-            const absl::Duration delay = absl::Seconds(2 + 10 * m_clock->uniform());
+            const absl::Duration randomDelay = absl::Seconds(2 + 10 * m_clock->uniform());
+            const absl::Duration delay = faults.lateBy.value_or(randomDelay);
             m_clock->after(delay, [this, action, delay, workerIncarnation = m_workerIncarnation] {
                 const std::int64_t leaseShiftMs
                     = faults.grantsFromArrival ? absl::ToInt64Milliseconds(delay) : 0;
-                if (workerIncarnation == m_workerIncarnation && !faults.unreachable)
+                // The order has arrived already, so a broken connection does not prevent it.
+                if (workerIncarnation == m_workerIncarnation)
                     action(leaseShiftMs);
             });
             answerAtDeadline();
@@ -295,8 +303,15 @@
     batch::item_worker_port port;
     port.start = [this, execute](const batch::start_order &order,
                                  const std::function<void(batch::order_answer)> &done) {
-        execute([this, order](std::int64_t leaseShiftMs) { return startNow(order, leaseShiftMs); },
+        const auto arrive = [this, execute, order, done] {
+            execute(
+                [this, order](std::int64_t leaseShiftMs) { return startNow(order, leaseShiftMs); },
                 done, batch::order_answer {}, order.deadline);
+        };
+        if (faults.startTransit > absl::ZeroDuration())
+            m_clock->after(faults.startTransit, arrive);
+        else
+            arrive();
     };
     port.stop = [this, execute](const batch::stop_order &order,
                                 const std::function<void(batch::order_answer)> &done) {
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -187,6 +188,8 @@
 
     /// Share of the datagrams between processes that are lost.
     double datagramLoss = 0.001;
+    /// Processes that neither send nor receive datagrams.
+    std::set<std::string> withoutDatagrams;
 
 private:
     /// Connects a process to the store, directly and through peers.
@@ -195,8 +198,11 @@
     {
         siteProcess->direct = store.portOf(name, siteProcess->alive);
         siteProcess->relay = std::make_unique<store_relay>(name, &siteProcess->direct, makeHooks());
-        siteProcess->relay->send = [this](const std::string &address, const std::string &message) {
-            if (clock.uniform() >= datagramLoss)
+        siteProcess->relay->send = [this, name](const std::string &address,
+                                                const std::string &message) {
+            const bool lost = clock.uniform() < datagramLoss || withoutDatagrams.contains(name)
+                || withoutDatagrams.contains(address);
+            if (!lost)
                 clock.after(DatagramDelay, [this, address, message] { deliver(address, message); });
         };
         siteProcess->port = siteProcess->relay->port();
