A poll without an answer no longer extends leases when it is carried out late

Cause: a worker may carry out an order that it did not answer 2 to 12 s later, and its lease may count from then. The agent raised its fencing token after a start without an answer, but not after a poll. A late poll of an agent that had lost the store in the meantime kept the runs alive for up to 6 s after the decider had given them away.

Evidence, on the code before:

Change: the token is raised after every unanswered call that extends the lease, also after a start whose run was dropped while it was on its way, so that the next call that arrives makes the late one void.

- tokens: 1,024 raises ran into the tokens of later processes.
The agent records its session again after 511 raises, which gives a higher base, and extends no lease with the last token of a base.
- starts: a start that was refused because the token was raised while it was on its way is sent again at once.
It waited for the long poll in flight, up to 1.5 s of the 1.8 s in which a gang has to start:

[ RUN ] batch_late_order_test.startRefusedForItsTokenIsRepeatedInTimeForItsGang tests/batch_late_order_test.cpp:126: Failure worker().running() Which is: 0 2U Which is: 2

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -129,8 +129,12 @@
     std::string describeLease() const;
     /// Fencing token of the next order.
     std::uint64_t currentToken() const;
-    /// Raises the fencing token, so that the worker rejects all orders that were sent before.
+    /// Raises the fencing token, so that the worker rejects all orders that were sent before once a
+    /// call with the new token has reached it.
     void supersedeOrders();
+    /// Raises the fencing token if an order with the present one got no answer, as the worker may
+    /// still carry it out.
+    void supersedeIfUnanswered(order_outcome outcome, std::uint64_t sentToken);
     /// The run that the worker lists, with the unit by which the journal names it.
     item_run resolveListedRun(const item_run &listed) const;
 
@@ -145,7 +149,9 @@
     bool m_announceDue = false;
     bool m_announcing = false;
     bool m_announced = false;                     ///< for the present incarnation of the worker
-    std::optional<std::uint64_t> m_sessionOffset; ///< offset of the record of this process
+    std::optional<std::uint64_t> m_sessionOffset; ///< offset of the first record of this process
+    bool m_recordingSession = false;
+    std::uint64_t m_tokenOffset = 0; ///< offset of its newest record, the base of the token
     std::uint64_t m_tokenStep = 0;
     bool m_evicted = false;
     absl::Time m_heartbeatAt = absl::InfinitePast();
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -74,6 +74,9 @@
 
 void batch_agent::recordSession()
 {
+    if (m_recordingSession)
+        return;
+    m_recordingSession = true;
     const batch_record record
         = process_started {m_options.agent, m_options.incarnation, false, m_options.wakeAddress};
     m_writer.write(
@@ -81,7 +84,11 @@
         [this](write_result writeResult, std::uint64_t offset) {
             if (writeResult != write_result::Written)
                 return;
-            m_sessionOffset = offset;
+            m_recordingSession = false;
+            m_tokenOffset = offset;
+            m_tokenStep = 0;
+            if (!m_sessionOffset)
+                m_sessionOffset = offset;
             logDecision("session recorded", m_options.agent.str(),
                         absl::StrCat("offset ", offset, ", incarnation ", m_options.incarnation));
         });
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -35,8 +35,13 @@
 /// Attempts to start an item before the agent reports that it did not start.
 constexpr std::uint32_t MaxStartAttempts = 4;
 
-/// Low bits of a fencing token, which count the raises of the token within one session.
+/// Low bits of a fencing token, which count the raises of the token since the record that gave the
+/// high bits.
 constexpr unsigned TokenStepBits = 10;
+constexpr std::uint64_t LastTokenStep = (1U << TokenStepBits) - 1;
+
+/// After this many raises the process records its session again, which gives new high bits.
+constexpr std::uint64_t TokenStepsPerSession = LastTokenStep / 2;
 
 /// Share of the gang timeout within which the order has to reach all members.
 constexpr double GangStartShare = 0.6;
@@ -51,12 +56,20 @@
 
 std::uint64_t batch_agent::currentToken() const
 {
-    return ((*m_sessionOffset + 1) << TokenStepBits) + m_tokenStep;
+    return ((m_tokenOffset + 1) << TokenStepBits) + m_tokenStep;
 }
 
 void batch_agent::supersedeOrders()
 {
-    ++m_tokenStep;
+    m_tokenStep = std::min(m_tokenStep + 1, LastTokenStep);
+    if (m_tokenStep >= TokenStepsPerSession)
+        recordSession();
+}
+
+void batch_agent::supersedeIfUnanswered(order_outcome outcome, std::uint64_t sentToken)
+{
+    if (outcome == order_outcome::NoAnswer && sentToken == currentToken())
+        supersedeOrders();
 }
 
 void batch_agent::updateWorkerClock(const std::optional<std::int64_t> &clockMs)
@@ -69,7 +82,8 @@
 
 std::optional<std::int64_t> batch_agent::leaseUntilMs() const
 {
-    if (!m_workerClockMs || m_evicted)
+    // An order that extends the lease needs a next token to supersede it.
+    if (!m_workerClockMs || m_evicted || m_tokenStep == LastTokenStep)
         return std::nullopt;
     const absl::Time now = m_hooks.now();
     const std::int64_t lease
@@ -192,6 +206,7 @@
 void batch_agent::onStarted(const item_run &id, std::uint64_t sentToken, const order_answer &answer)
 {
     updateWorkerClock(answer.workerClockMs);
+    supersedeIfUnanswered(answer.outcome, sentToken);
     const auto found = m_runs.find(id);
     if (found == m_runs.end() || found->second.state != phase::Starting)
         return;
@@ -211,10 +226,15 @@
         run.uncertain = true;
         m_pollOnFreshConnection = true;
         m_pollAt = m_hooks.now();
-        if (sentToken == currentToken())
-            supersedeOrders();
         break;
     case order_outcome::StaleToken:
+        run.state = phase::Ordered;
+        // If the token was raised while the start was on its way, nothing of it is left.
+        run.uncertain = sentToken == currentToken();
+        if (!run.uncertain)
+            --run.startAttempts;
+        m_pollAt = m_hooks.now();
+        break;
     case order_outcome::LeaseExpired:
     case order_outcome::StaleRun:
         run.state = phase::Ordered;
@@ -254,7 +274,7 @@
         found->second.stopSent = true;
     logDecision("stop", nameOf(id), absl::StrCat("token ", currentToken()));
     m_worker->stop({id, currentToken(), m_description->worker, m_hooks.now() + OrderTimeout},
-                   [this, id](const order_answer &answer) {
+                   [this, id, sentToken = currentToken()](const order_answer &answer) {
                        updateWorkerClock(answer.workerClockMs);
                        if (answer.outcome == order_outcome::Done)
                            return; // the worker will list its end
@@ -265,8 +285,7 @@
                            run->second.stopSent = false;
                            run->second.stopRetryAt = retryAt;
                        }
-                       if (answer.outcome == order_outcome::NoAnswer)
-                           supersedeOrders();
+                       supersedeIfUnanswered(answer.outcome, sentToken);
                        m_pollAt = std::max(m_pollAt, retryAt);
                    });
 }
@@ -308,10 +327,15 @@
     request.deadline = now + request.wait + OrderTimeout;
     request.freshConnection = m_pollOnFreshConnection;
     const std::uint64_t lastSeen = request.acknowledgedEnd;
+    const bool extendsLease = request.leaseUntilMs.has_value();
     m_worker->poll(std::move(request),
                    [this, sentToken = currentToken(), workerIncarnation = m_workerIncarnation, now,
-                    lastSeen](const poll_answer &answer) {
+                    lastSeen, extendsLease](const poll_answer &answer) {
                        m_polling = false;
+                       // Carried out late, it would extend the lease past the time for which the
+                       // journal was read.
+                       if (extendsLease)
+                           supersedeIfUnanswered(answer.outcome, sentToken);
                        if (answer.outcome == order_outcome::Done
                            && workerIncarnation == m_workerIncarnation)
                            m_acknowledgedEnd = std::max(m_acknowledgedEnd, lastSeen);
