Runs of a lost agent are given away only after its late orders have ended

Cause: an order without an answer may be carried out up to 12 s after it was sent, with a lease that counts from then. The agent raises its fencing token against it, but an agent that was killed, or cut off from its worker, right after the order cannot, until it is back. The decider gave its runs away 12.5 s after the eviction was recorded.

Carried out 12 s late, the lease ends 24 s after the read.

Change: the decider waits 24.5 s. The cost: the runs of an agent that stays away for more than 16 s, whose worker does not restart or leave either, start 12 s later than before. Agents that return sooner lose nothing, as before.

--- a/include/hyssoppond/batch/lease_rule_func.h
+++ b/include/hyssoppond/batch/lease_rule_func.h
@@ -1,9 +1,11 @@
 /// @file Lease rule that prevents two concurrent runs of one item when an agent cannot be reached.
 ///
 /// An agent extends its worker's lease only on the basis of a journal read that shows no eviction
-/// of the agent, and no further than `JournalReadValidity` after the start of that read. The
-/// decider first records an eviction. It declares the runs lost only when every lease based on a
-/// read before that record has expired.
+/// of the agent, and no further than `JournalReadValidity` after the start of that read. An order
+/// without an answer may be carried out up to `LongestOrderDelay` later, and its lease may count
+/// from then, unless the worker has seen a higher fencing token before. The decider first records
+/// an eviction. It declares the runs lost only when every lease based on a read before that record
+/// has expired, also if its order was late and the agent was lost before it could raise its token.
 #pragma once
 
 #include <absl/time/time.h>
@@ -17,6 +19,10 @@
 /// platform's store last up to about 9 s, and running work survives them within this time.
 inline constexpr absl::Duration JournalReadValidity = absl::Milliseconds(12'000);
 
+/// Longest time after which a worker still carries out an order that it did not answer.
+inline constexpr absl::Duration LongestOrderDelay
+    = absl::Seconds(12); // bound given by the platform
+
 /// Relative error by which a worker's clock may be slow.
 inline constexpr double WorkerClockError = 0.02; // bound given by the platform
 
@@ -36,7 +42,7 @@
 /// journal at `recordedAt` or before.
 inline absl::Time runsLostAt(absl::Time recordedAt)
 {
-    return recordedAt + JournalReadValidity + LeaseSlack;
+    return recordedAt + JournalReadValidity + LongestOrderDelay + LeaseSlack;
 }
 
 } // namespace hyssoppond::batch
