An agent stops what a late order has kept alive past its leases

The agent saw these runs in the list and let them go on for up to 6 s more.

Change: 12.5 s after the last read on which a lease may rest, the agent raises its token and stops what still runs. No lease granted in time can be in force then, so an outage of the store that ends sooner stops nothing. The log tells for how long an unanswered order may still extend the lease.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -125,6 +125,7 @@
     /// End of the longest lease that is allowed now, in ms on the worker's clock; none if no lease
     /// is allowed.
     std::optional<std::int64_t> leaseUntilMs() const;
+    void updateLeaseProof();
     /// Lease that was granted and the age of the evidence for it, for the log.
     std::string describeLease() const;
     /// Fencing token of the next order.
@@ -175,6 +176,11 @@
     std::uint64_t m_workerIncarnation = 0; ///< counts the worker incarnations seen
     std::uint32_t m_reportsInFlight = 0;
     std::int64_t m_grantedUntilMs = 0; ///< end of the longest lease sent, on the worker's clock
+    /// Start of the last journal read on which a lease may rest; at first that of the first load,
+    /// as an earlier process may have granted leases.
+    absl::Time m_leaseProofAsOf = absl::InfinitePast();
+    /// Until when the worker may carry out an order that got no answer and is not superseded yet.
+    absl::Time m_lateOrderUntil = absl::InfinitePast();
     std::optional<std::int64_t> m_workerClockMs;
     absl::Time m_workerClockReadAt;
 };
--- a/include/hyssoppond/batch/lease_rule_func.h
+++ b/include/hyssoppond/batch/lease_rule_func.h
@@ -38,6 +38,13 @@
     return std::clamp(static_cast<std::int64_t>(workerMs), std::int64_t {0}, longestMs);
 }
 
+/// Time after which no lease based on a journal read that began at `currentAsOf` is in force,
+/// unless a late order extended it.
+inline absl::Time leasesOverAt(absl::Time currentAsOf)
+{
+    return currentAsOf + JournalReadValidity + LeaseSlack;
+}
+
 /// Earliest time at which the runs of an agent may be declared lost, if its eviction was in the
 /// journal at `recordedAt` or before.
 inline absl::Time runsLostAt(absl::Time recordedAt)
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -256,6 +256,7 @@
         run = known->second;
         run.unwanted = run.unwanted || unwanted;
     }
+    m_leaseProofAsOf = std::max(m_leaseProofAsOf, m_follower.currentAsOf());
     logDecision("journal loaded", "",
                 absl::StrCat(records.size(), " records, ", m_runs.size(), " runs, ",
                              toString(m_follower.lastLoad())));
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -68,8 +68,10 @@
 
 void batch_agent::supersedeIfUnanswered(order_outcome outcome, std::uint64_t sentToken)
 {
-    if (outcome == order_outcome::NoAnswer && sentToken == currentToken())
-        supersedeOrders();
+    if (outcome != order_outcome::NoAnswer || sentToken != currentToken())
+        return;
+    m_lateOrderUntil = m_hooks.now() + LongestOrderDelay;
+    supersedeOrders();
 }
 
 void batch_agent::updateWorkerClock(const std::optional<std::int64_t> &clockMs)
@@ -95,13 +97,23 @@
     return *m_workerClockMs + static_cast<std::int64_t>(passed) + lease;
 }
 
+void batch_agent::updateLeaseProof()
+{
+    if (!m_evicted)
+        m_leaseProofAsOf = std::max(m_leaseProofAsOf, m_follower.currentAsOf());
+}
+
 std::string batch_agent::describeLease() const
 {
     return absl::StrCat("lease until ", m_grantedUntilMs, " on its clock, which showed ",
                         m_workerClockMs.value_or(0), " ",
                         absl::FormatDuration(m_hooks.now() - m_workerClockReadAt),
                         " ago; journal read ",
-                        absl::FormatDuration(m_hooks.now() - m_follower.currentAsOf()), " ago");
+                        absl::FormatDuration(m_hooks.now() - m_follower.currentAsOf()), " ago",
+                        m_lateOrderUntil < m_hooks.now()
+                            ? ""
+                            : absl::StrCat("; an order without an answer may still extend it for ",
+                                           absl::FormatDuration(m_lateOrderUntil - m_hooks.now())));
 }
 
 run_ended batch_agent::endOf(const item_run &id, run_end how, const std::string &checkpoint) const
@@ -312,6 +324,7 @@
     m_lastPollAt = now;
     const bool uncertain = std::any_of(m_runs.begin(), m_runs.end(),
                                        [](const auto &entry) { return entry.second.uncertain; });
+    updateLeaseProof();
     poll_request request;
     request.leaseUntilMs = leaseUntilMs();
     m_grantedUntilMs = std::max(m_grantedUntilMs, request.leaseUntilMs.value_or(0));
@@ -386,6 +399,12 @@
         return;
     }
     m_incarnationConfirmedAt = now;
+    if (sentToken == currentToken())
+        m_lateOrderUntil = absl::InfinitePast();
+    // Only a late order can have kept these runs alive; the decider may soon give them away.
+    updateLeaseProof();
+    const bool leasesOver = now > leasesOverAt(m_leaseProofAsOf);
+    bool hasStrayRuns = false;
     const bool firstPoll = !m_synced;
     bool hasUnknownRuns = false;
     std::set<item_run> listed;
@@ -406,11 +425,18 @@
         if (run.state == phase::Ordered || run.state == phase::Starting)
             run.state = phase::Running;
         run.uncertain = false;
+        if (leasesOver && run.state == phase::Running && !run.unwanted) {
+            logDecision("run unleased", nameOf(id), describeLease());
+            run.unwanted = true;
+            hasStrayRuns = true;
+        }
         if (runningItem.percent != run.percent) {
             run.percent = runningItem.percent;
             run.progressAt = now;
         }
     }
+    if (hasStrayRuns)
+        supersedeOrders(); // the stops make all late orders void
     std::vector<run_ended> ends;
     std::uint64_t newest = 0;
     for (const ended_item &endedItem : answer.ended) {
--- a/tests/batch_late_order_test.cpp
+++ b/tests/batch_late_order_test.cpp
@@ -91,6 +91,44 @@
     EXPECT_THAT(m_site->history.breaches, IsEmpty()) << m_site->decisionsAbout(m_id);
 }
 
+// Guards against a run that goes on after the journal read behind its leases is too old, because a
+// late poll was carried out before a later one could be answered.
+TEST_F(batch_late_order_test, runsAreStoppedOnceTheProofBehindTheirLeasesIsTooOld)
+{
+    start();
+    runGang();
+    cutAgent();
+    runFor(absl::Seconds(2));
+    delayOrders(absl::Milliseconds(3'500));
+    runFor(ReadInFlight + JournalReadValidity - absl::Seconds(2));
+    ASSERT_EQ(worker().running(), 2U) << "no late poll kept the runs alive";
+    delayOrders(absl::ZeroDuration());
+    offerOtherWorker();
+    runFor(absl::Seconds(1));
+    EXPECT_EQ(worker().running(), 0U) << m_site->decisionsAbout(m_id);
+    runFor(absl::Seconds(30));
+    EXPECT_EQ(m_site->history.starts, 4U);
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << m_site->decisionsAbout(m_id);
+}
+
+// Guards against runs that are stopped when their agent starts anew, after an eviction, while their
+// last lease is still in force.
+TEST_F(batch_late_order_test, restartedAgentThatFindsItsEvictionKeepsItsRuns)
+{
+    start();
+    worker().itemTime = absl::Seconds(12);
+    runGang();
+    m_site->kill("agent-0");
+    runFor(absl::Milliseconds(3'300));
+    m_site->startAgent("agent-0");
+    runFor(absl::Seconds(10));
+    EXPECT_THAT(m_site->decisionsAbout("agent-0"), testing::HasSubstr("agent-0: evicted"));
+    const job_state *job = m_site->entries.at("entry-0")->node->state().find(job_id(m_id));
+    ASSERT_NE(job, nullptr);
+    EXPECT_EQ(job->status(), job_status::Completed) << m_site->decisionsAbout(m_id);
+    EXPECT_EQ(m_site->history.starts, 2U);
+}
+
 // Guards against work that is thrown away because polls are late while the store serves the agent,
 // or fails for less than leases last.
 TEST_F(batch_late_order_test, runsSurviveLatePollsAndAnOutageOfTheStore)
