A worker that nobody can connect to any more is gone after its notice

Cause: the agent learned of the end of a worker only from lists, another incarnation or the lease. A worker that leaves at short notice ends without waiting for the answer.

Evidence: runsOfAWorkerThatEndedAtItsNoticeAreOrderedAgainSoon without the limit of refusals: status() is Running, expected job_status::Completed.

Fix: an order tells whether the connection was refused. After a notice, three polls in a row that were refused (0.4 s) end the worker. It is on the same machine, which refuses connections only while no process listens at the address. Without a notice refusals change nothing, and a worker that is cut off silently still waits for its lease.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -164,6 +164,7 @@
     bool m_probedLast = false; ///< the last poll was a probe without an answer
     bool m_leaving = false;    ///< the worker has given notice that it ends
     std::vector<std::function<void()>> m_noticeAnswers;
+    unsigned m_refusedPolls = 0; ///< last polls in a row to whose address nobody listened
     absl::Time m_noticeAnswerAt; ///< latest time for the answers to the notices
     absl::Time m_leaseOverAt;    ///< no lease that this agent granted lasts longer
     bool m_announceDue = false;
--- a/include/hyssoppond/batch/item_worker_port.h
+++ b/include/hyssoppond/batch/item_worker_port.h
@@ -33,6 +33,7 @@
     WorkerRestarted, ///< the worker has restarted; nothing was done
     Rejected,        ///< the worker does not accept such an order
     NoAnswer,        ///< it may have been carried out, or may be seconds later
+    NotListening,    ///< no process takes connections at the worker's address; nothing was done
 };
 
 struct start_order
--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -44,6 +44,7 @@
     double executeLate = 0.0;       ///< share of orders carried out 2 to 12 s later, unanswered
     bool grantsFromArrival = false; ///< a late order's lease counts from its arrival
     bool unreachable = false;       ///< neither acts nor answers
+    bool notListening = false;      ///< connections are refused; orders have no effect
     bool resets = false;            ///< connections break at once; orders have no effect
     bool failAll = false;           ///< every item fails at the end of its run
     bool oddEntries = false;        ///< one entry of each list of runs cannot be read
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -35,6 +35,9 @@
 /// takes up to 0.9 s, and callers expect the answer within a second.
 constexpr absl::Duration NoticeAnswerTimeout = absl::Milliseconds(900);
 
+/// A worker that has given notice is gone if its machine refuses this many connections in a row.
+constexpr unsigned MaxRefusedPolls = 3;
+
 /// Time limit for one answer of the store.
 constexpr absl::Duration StoreTimeout = absl::Milliseconds(1000);
 
@@ -190,6 +193,7 @@
         // incarnation. The worker gets no more work and no more lease, and its lists show which
         // runs have ended.
         m_leaving = true;
+        m_refusedPolls = 0;
         m_noticeAnswerAt = m_hooks.now() + NoticeAnswerTimeout;
         m_announceDue = m_synced && !m_description->draining;
         m_description->draining = true;
@@ -219,7 +223,8 @@
         = m_synced && m_runs.empty() && m_reportsInFlight == 0 && m_handledEnd <= m_acknowledgedEnd;
     if (settled || now >= m_noticeAnswerAt)
         answerNotices();
-    if (settled || now >= m_leaseOverAt)
+    // The worker is on the same machine, which refuses connections only while nobody listens.
+    if (settled || now >= m_leaseOverAt || m_refusedPolls >= MaxRefusedPolls)
         endWorker();
 }
 
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -234,6 +234,7 @@
         break;
     case order_outcome::NoCapacity:
     case order_outcome::Unhealthy:
+    case order_outcome::NotListening:
     case order_outcome::Rejected:
         reportNotStarted(
             id, answer.outcome == order_outcome::NoCapacity ? "worker has no capacity" : "refused");
@@ -402,6 +403,7 @@
     updateWorkerClock(answer.workerClockMs);
     m_pollAt = now;
     m_pollOnFreshConnection = false;
+    m_refusedPolls = answer.outcome == order_outcome::NotListening ? m_refusedPolls + 1 : 0;
     if (answer.outcome != order_outcome::Done) {
         logDecision("look failed", "",
                     absl::StrCat("poll failed, outcome ", static_cast<int>(answer.outcome),
--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -274,6 +274,15 @@
             });
         };
         ++calls;
+        if (faults.notListening) {
+            auto refused = noAnswer;
+            refused.outcome = order_outcome::NotListening;
+            m_clock->after(OrderDuration, [clientAlive, done, refused] {
+                if (*clientAlive)
+                    done(refused);
+            });
+            return;
+        }
         if (faults.resets) {
             m_clock->after(OrderDuration, [clientAlive, done, noAnswer] {
                 if (*clientAlive)
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -6,6 +6,7 @@
 #include <sys/epoll.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <stdexcept>
 
 namespace hyssoppond {
@@ -182,6 +183,9 @@
             curl_off_t preTransferTime = 0;
             curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &preTransferTime);
             current->reply.unsent = preTransferTime == 0;
+            long systemError = 0;
+            curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &systemError);
+            current->reply.refused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
             current->reply.problem = curl_easy_strerror(code);
         }
         curl_multi_remove_handle(m_multi, easy);
--- a/tests/batch_worker_report_test.cpp
+++ b/tests/batch_worker_report_test.cpp
@@ -102,6 +102,26 @@
     EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
 }
 
+// Guards against runs that wait for the end of a lease, or for the eviction of an agent that ends
+// soon after its worker, although nobody listens at the worker's address any more.
+TEST_F(batch_worker_report_test, runsOfAWorkerThatEndedAtItsNoticeAreOrderedAgainSoon)
+{
+    start(2);
+    const std::string agent = startItem(absl::Seconds(20));
+    ASSERT_NE(agent, "");
+    for (auto &[name, worker] : m_site->workers)
+        worker->itemTime = absl::Seconds(1);
+    agentOf(agent).onWorkerLeft(workerOf(agent).description().worker);
+    workerOf(agent).restart();
+    workerOf(agent).faults.unreachable = true;
+    workerOf(agent).faults.notListening = true;
+    m_site->clock.runFor(absl::Milliseconds(950));
+    m_site->kill(agent);
+    m_site->clock.runFor(absl::Seconds(2));
+    EXPECT_EQ(status(), job_status::Completed) << decisions();
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
+}
+
 // Guards against runs that lose their work, or wait for the end of a lease, when a worker that
 // leaves still answers: the agent stops them before it answers the notice.
 TEST_F(batch_worker_report_test, runsOfALeavingWorkerAreStoppedBeforeTheNoticeIsAnswered)
