--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -47,6 +47,7 @@
     bool grantsFromArrival = false;       ///< a late order's lease counts from its arrival
     absl::Duration startTransit;          ///< time until a start arrives
     bool unreachable = false;             ///< neither acts nor answers
+    bool notListening = false;            ///< connections are refused; orders have no effect
     bool resets = false;                  ///< connections break at once; orders have no effect
     bool failAll = false;                 ///< every item fails at the end of its run
     bool oddEntries = false;              ///< one entry of each list of runs cannot be read
