Heartbeats of two processes never share a producer

Cause: the producer of an agent's heartbeats named the process by its start in time of day. After a step of the clock two processes can have the same. The store then refused the heartbeats of the second one until it had sent more than the first one. The decider evicted the agent, and its runs lapsed.

Change: the producer names the epoch of the session, which no two processes share.

--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -313,9 +313,8 @@
     request.topic = m_options.heartbeatTopic;
     request.records.push_back({"", encodeAgentHeartbeat(content), 0});
     // Each heartbeat has its own epoch, so that a lost heartbeat does not delay the next one.
-    request.producer
-        = producer_stamp {absl::StrCat(m_options.agent.str(), "/", m_options.incarnation, "/beat"),
-                          ++m_heartbeats, 1};
+    request.producer = producer_stamp {
+        absl::StrCat(m_options.agent.str(), "/", m_writer.epoch(), "/beat"), ++m_heartbeats, 1};
     request.deadline = m_hooks.now() + StoreTimeout;
     // A lost heartbeat is not repeated; the next one replaces it.
     m_store->append(std::move(request), [](const append_answer &) {});
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -60,7 +60,7 @@
         connect(name, siteProcess.get());
         batch_entry_options options;
         options.entry = process_id(name);
-        options.incarnation = ++m_incarnations;
+        options.incarnation = fixedIncarnation.value_or(++m_incarnations);
         options.wakeAddress = name;
         options.configTopic = "op";
         siteProcess->node
@@ -81,7 +81,7 @@
         siteProcess->worker = workers.at(name)->portTo(siteProcess->alive);
         batch_agent_options options;
         options.agent = process_id(name);
-        options.incarnation = ++m_incarnations;
+        options.incarnation = fixedIncarnation.value_or(++m_incarnations);
         options.wakeAddress = name;
         siteProcess->node = std::make_unique<batch_agent>(options, &siteProcess->port,
                                                           &siteProcess->worker, makeHooks(name));
@@ -194,6 +194,9 @@
     /// Random number that all processes draw; none: different ones.
     std::optional<std::uint64_t> fixedRandom;
 
+    /// Incarnation of the processes that start from now on; none: different ones.
+    std::optional<incarnation_number> fixedIncarnation;
+
     /// Error of the time of day of the processes that start from now on, by name.
     std::map<std::string, absl::Duration> wallSkew;
 
--- a/tests/batch_successor_test.cpp
+++ b/tests/batch_successor_test.cpp
@@ -262,6 +262,22 @@
     submitAndRun();
 }
 
+// Guards against an agent that is evicted because the store refuses its heartbeats, as those of an
+// earlier process that started at the same time of day. The clock was stepped back in between.
+TEST_F(batch_successor_test, heartbeatsArriveAfterAStartAtTheSameTimeOfDay)
+{
+    start();
+    m_site->fixedIncarnation = 1'000;
+    replaceAgent();
+    m_site->clock.runFor(absl::Seconds(30));
+    replaceAgent();
+    m_site->clock.runFor(absl::Seconds(2));
+    const std::string id = submitAndRun();
+    m_site->clock.runFor(absl::Seconds(20));
+    EXPECT_FALSE(m_site->entries.at("entry-0")->node->state().isEvicted(process_id(Agent)))
+        << m_site->decisionsAbout(id);
+}
+
 // Guards against two deciders at once. Two entries drew the same epoch, because the first one's
 // grant had no answer when the second one took over. The store answered the first one's repetition
 // with the offset of the other grant.
