A port out of range in a peer's address is not cut to another port

Evidence: by reading; the cast was in a function that opens sockets, so no test ran on the old code.

--- a/tests/odd_report_test.cpp
+++ b/tests/odd_report_test.cpp
@@ -248,6 +248,18 @@
     }
 }
 
+// Guards against messages to another port than the one that an address names, as 70000 cut to 16
+// bits is 4464.
+TEST(odd_report_test, portOutOfRangeIsNoAddress)
+{
+    const auto address = parseAddress("10.0.0.9:65535");
+    ASSERT_TRUE(address.has_value());
+    EXPECT_EQ(address->port, 65'535);
+    for (const char *text : {"10.0.0.9:70000", "10.0.0.9:-1", "10.0.0.9:0", "10.0.0.9:", ":80", "",
+                             "10.0.0.9:99999999999999999999", "10.0.0.9:80x"})
+        EXPECT_FALSE(parseAddress(text).has_value()) << text;
+}
+
 // Guards against an agent that answers an odd report as if it had used it.
 TEST(odd_report_test, oddReportIsAnsweredWith400)
 {
