Runs of a lost agent wait for late orders only where orders were left unanswered

What callers saw: after the wait for late orders had been added to the loss of every agent (24.5 s instead of 12.5 s), jobs of machines that are gone for good started so late that LOST was broken.

Change: agents report in their heartbeats that their worker has left orders unanswered lately, and the decider waits the 12 s more only for those. A start, and polls until one is answered after it, carry a lease of at most 2.7 s, so that a late start of an agent that was lost before it could report ends in time.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -154,7 +154,8 @@
     void updateWorkerClock(const std::optional<std::int64_t> &clockMs);
     /// End of the longest lease that is allowed now, in ms on the worker's clock; none if no lease
     /// is allowed.
-    std::optional<std::int64_t> leaseUntilMs() const;
+    /// A lease has at most `longestMs`.
+    std::optional<std::int64_t> leaseUntilMs(std::int64_t longestMs) const;
     /// Notes that an order grants a lease until `untilMs` on the worker's clock.
     void noteGrant(std::int64_t untilMs);
     void updateLeaseProof();
@@ -236,6 +237,9 @@
     absl::Time m_leaseProofAsOf = absl::InfinitePast();
     /// Until when the worker may carry out an order that got no answer and is not superseded yet.
     absl::Time m_lateOrderUntil = absl::InfinitePast();
+    /// Until when the heartbeats report that orders were left unanswered.
+    absl::Time m_reportUnansweredUntil = absl::InfinitePast();
+    bool m_shortLease = false; ///< a start was sent, and no poll was answered since
     std::optional<std::int64_t> m_workerClockMs;
     absl::Time m_workerClockReadAt;
 };
--- a/include/hyssoppond/batch/lease_rule_func.h
+++ b/include/hyssoppond/batch/lease_rule_func.h
@@ -46,10 +46,12 @@
 }
 
 /// Earliest time at which the runs of an agent may be declared lost, if its eviction was in the
-/// journal at `recordedAt` or before.
-inline absl::Time runsLostAt(absl::Time recordedAt)
+/// journal at `recordedAt` or before. `ordersMayBeLate`: the agent reported that its worker left
+/// orders unanswered.
+inline absl::Time runsLostAt(absl::Time recordedAt, bool ordersMayBeLate)
 {
-    return recordedAt + JournalReadValidity + LongestOrderDelay + LeaseSlack;
+    return recordedAt + JournalReadValidity + LeaseSlack
+        + (ordersMayBeLate ? LongestOrderDelay : absl::ZeroDuration());
 }
 
 } // namespace hyssoppond::batch
--- a/include/hyssoppond/fakes/fake_store_base.h
+++ b/include/hyssoppond/fakes/fake_store_base.h
@@ -17,12 +17,12 @@
 /// Faults that one client meets.
 struct store_faults
 {
-    bool refuse = false;        ///< answers Refused, without effect
-    bool silent = false;        ///< no effect and no answer
-    std::string silentReadsOf;  ///< topic whose reads have no answer; empty: none
-    bool silentAppends = false; ///< appends have no effect and no answer
-    double loseAnswers = 0.0;   ///< share of appends that take effect without an answer
-    double executeLate = 0.0;   ///< share of appends that take effect 1 to 6 s later, unanswered
+    bool refuse = false;                   ///< answers Refused, without effect
+    bool silent = false;                   ///< no effect and no answer
+    std::string silentReadsOf;             ///< topic whose reads have no answer; empty: none
+    std::set<std::string> silentAppendsTo; ///< topics to which appends have no effect and no answer
+    double loseAnswers = 0.0;              ///< share of appends that take effect without an answer
+    double executeLate = 0.0; ///< share of appends that take effect 1 to 6 s later, unanswered
     absl::Duration answerDelay = absl::Milliseconds(4);
 };
 
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -401,6 +401,7 @@
     agent_heartbeat content;
     content.agent = m_options.agent;
     content.workerStartMs = m_description->workerStartMs;
+    content.ordersUnanswered = m_hooks.now() < m_reportUnansweredUntil;
     append_request request;
     request.topic = m_options.heartbeatTopic;
     request.records.push_back({"", encodeAgentHeartbeat(content), 0});
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -32,6 +32,16 @@
 /// A start is sent only with a lease of at least this length.
 constexpr std::int64_t ShortestLeaseMs = 1'000;
 
+/// Longest lease of a start, and of polls until one was answered after it. A start may be carried
+/// out late with its lease counting from then, also after its agent was lost and before it could
+/// report that orders are left unanswered. The lease then has to end before the run is given away.
+/// Polls extend it.
+constexpr std::int64_t StartLeaseMs = 2'700;
+
+/// How long the heartbeats report an unanswered order: late orders come in series, and the next one
+/// may be the last call of an agent that is lost.
+constexpr absl::Duration UnansweredReportTime = absl::Seconds(15);
+
 /// Attempts to start an item before the agent reports that it did not start.
 constexpr std::uint32_t MaxStartAttempts = 4;
 
@@ -68,7 +78,13 @@
 
 void batch_agent::supersedeIfUnanswered(order_outcome outcome, std::uint64_t sentToken)
 {
-    if (outcome != order_outcome::NoAnswer || sentToken != currentToken())
+    if (outcome != order_outcome::NoAnswer)
+        return;
+    const bool reported = m_hooks.now() < m_reportUnansweredUntil;
+    m_reportUnansweredUntil = m_hooks.now() + UnansweredReportTime;
+    if (!reported)
+        m_heartbeatAt = m_hooks.now();
+    if (sentToken != currentToken())
         return;
     m_lateOrderUntil = m_hooks.now() + LongestOrderDelay;
     supersedeOrders();
@@ -83,14 +99,13 @@
     m_silentAt = absl::InfiniteFuture();
 }
 
-std::optional<std::int64_t> batch_agent::leaseUntilMs() const
+std::optional<std::int64_t> batch_agent::leaseUntilMs(std::int64_t longestMs) const
 {
     // An order that extends the lease needs a next token to supersede it.
     if (!m_workerClockMs || m_evicted || m_leaving || isSilent() || m_tokenStep == LastTokenStep)
         return std::nullopt;
     const absl::Time now = m_hooks.now();
-    const std::int64_t lease
-        = allowedLeaseMs(m_follower.currentAsOf(), now, m_options.longestLeaseMs);
+    const std::int64_t lease = allowedLeaseMs(m_follower.currentAsOf(), now, longestMs);
     if (lease <= 0)
         return std::nullopt;
     const double passed
@@ -202,15 +217,16 @@
 
 void batch_agent::start(const item_run &id)
 {
-    const std::optional<std::int64_t> until = leaseUntilMs();
-    const std::int64_t lease
-        = allowedLeaseMs(m_follower.currentAsOf(), m_hooks.now(), m_options.longestLeaseMs);
+    const std::int64_t longestMs = std::min(StartLeaseMs, m_options.longestLeaseMs);
+    const std::optional<std::int64_t> until = leaseUntilMs(longestMs);
+    const std::int64_t lease = allowedLeaseMs(m_follower.currentAsOf(), m_hooks.now(), longestMs);
     if (!until || lease < ShortestLeaseMs)
         return;
     local_run &run = m_runs.at(id);
     run.state = phase::Starting;
     run.progressAt = m_hooks.now();
     ++run.startAttempts;
+    m_shortLease = true;
     noteGrant(*until);
     logDecision("start", nameOf(id), absl::StrCat("token ", currentToken(), ", ", describeLease()));
     start_order order;
@@ -392,7 +408,7 @@
                                        [](const auto &entry) { return entry.second.uncertain; });
     updateLeaseProof();
     poll_request request;
-    request.leaseUntilMs = leaseUntilMs();
+    request.leaseUntilMs = leaseUntilMs(m_shortLease ? StartLeaseMs : m_options.longestLeaseMs);
     if (request.leaseUntilMs)
         noteGrant(*request.leaseUntilMs);
     request.fencingToken = currentToken();
@@ -400,8 +416,8 @@
     // that were never read must not be acknowledged by the numbers of the previous incarnation.
     const bool incarnationConfirmed = now - m_incarnationConfirmedAt < IncarnationConfirmedFor;
     request.acknowledgedEnd = incarnationConfirmed ? m_handledEnd : 0;
-    const bool mayWait = m_synced && !uncertain && m_reportsInFlight == 0 && incarnationConfirmed
-        && m_handledEnd == m_acknowledgedEnd;
+    const bool mayWait = !m_shortLease && m_synced && !uncertain && m_reportsInFlight == 0
+        && incarnationConfirmed && m_handledEnd == m_acknowledgedEnd;
     request.wait = mayWait ? PollWait : absl::ZeroDuration();
     request.worker = m_description->worker;
     request.deadline = now + request.wait + OrderTimeout;
@@ -412,6 +428,8 @@
                    [this, sentToken = currentToken(), workerIncarnation = m_workerIncarnation, now,
                     lastSeen, extendsLease](const poll_answer &answer) {
                        m_polling = false;
+                       if (answer.outcome == order_outcome::Done && extendsLease)
+                           m_shortLease = false;
                        // Carried out late, it would extend the lease past the time for which the
                        // journal was read.
                        if (extendsLease)
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -243,6 +243,10 @@
             logDecision("beat ignored", "", heartbeat.error().message);
             continue;
         }
+        if (heartbeat->ordersUnanswered)
+            m_ordersUnanswered.insert(heartbeat->agent);
+        else
+            m_ordersUnanswered.erase(heartbeat->agent);
         agent_watch &watch = m_watches[heartbeat->agent];
         watch.silentSince = now;
         if (!gap)
@@ -279,7 +283,8 @@
             const batch_record reinstatement = agent_evicted {agent, false};
             logRecord(reinstatement, "heartbeats received again");
             recordEviction(agent, reinstatement);
-        } else if (evicted && holdsRuns && now >= runsLostAt(evictionReadAt)
+        } else if (evicted && holdsRuns && m_heartbeatsReadAt != absl::InfinitePast()
+                   && now >= runsLostAt(evictionReadAt, m_ordersUnanswered.contains(agent))
                    && !watch.evictionQueued) {
             declareRunsLost(agent);
         }
--- a/src/fakes/fake_store.cpp
+++ b/src/fakes/fake_store.cpp
@@ -197,7 +197,7 @@
                           done({store_outcome::Unknown, 0});
                   });
               };
-        if (fault.silentAppends) {
+        if (fault.silentAppendsTo.contains(request.topic)) {
             answerUnknownAtDeadline();
             return;
         }
