A run that was void when it was ordered stays so for a later agent process

What callers saw: two runs of one item at the same time.

Record by record this run is lost at once. Then the same worker incarnation was announced again.

Change: an agent records that it did not start an order that is void when it reads it, before it announces the worker again, so a load shows the end. Besides, an order of a unit makes the earlier runs of the unit unwanted at every agent, since the decider orders a unit again only when it takes them for over.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -206,6 +206,7 @@
     absl::Time m_heartbeatAt = absl::InfinitePast();
     std::uint64_t m_heartbeats = 0;
 
+    bool m_applyingLoad = false;
     std::map<item_run, local_run> m_runs;
     std::set<item_run> m_endedRuns; ///< with a record of their end in the journal
     /// Offsets of the ends that this process recorded and has not read yet. A load that began
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -426,8 +426,10 @@
     for (const auto &[id, offset] : m_unreadEnds)
         m_endedRuns.insert(id);
     // Orders are rebuilt from the journal; the known state of their runs is kept.
+    m_applyingLoad = true;
     for (const stored_record &storedRecord : records)
         applyRecord(storedRecord, true);
+    m_applyingLoad = false;
     for (auto &[id, run] : m_runs) {
         const auto known = previousRuns.find(id);
         if (known == previousRuns.end())
@@ -502,6 +504,9 @@
 
 void batch_agent::onOrdered(const run_ordered &ordered, bool stale)
 {
+    // The decider orders a unit again only when its earlier runs are over.
+    for (auto &[id, run] : m_runs)
+        run.unwanted = run.unwanted || (id.unit == ordered.unit && id.run < ordered.run);
     for (const run_member &member : ordered.members) {
         if (member.agent != m_options.agent)
             continue;
@@ -511,6 +516,10 @@
         if ((m_synced && member.workerStartMs != m_description->workerStartMs)
             || (m_announcedStartMs && member.workerStartMs != *m_announcedStartMs)) {
             m_voidedRuns.insert(id);
+            // The state has lost this run, but a load cannot tell so once the same incarnation is
+            // announced again.
+            if (m_sessionConfirmed && !m_applyingLoad)
+                report({endOf(id, run_end::NotStarted, "")}, 0);
             continue;
         }
         local_run run;
