--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -539,14 +539,19 @@
 {
     // As in batch_state: orders before the announcement are void unless they name this incarnation.
     m_announcedStartMs = announced.hasWorker ? announced.worker.workerStartMs : 0;
-    std::erase_if(m_runs, [this](const auto &entry) {
+    std::vector<run_ended> ends;
+    std::erase_if(m_runs, [this, &ends](const auto &entry) {
         const local_run &run = entry.second;
         const bool isVoid = run.workerStartMs != *m_announcedStartMs && run.state == phase::Ordered
             && !run.uncertain;
-        if (isVoid)
+        if (isVoid) {
             m_voidedRuns.insert(entry.first);
+            ends.push_back(endOf(entry.first, run_end::NotStarted, ""));
+        }
         return isVoid;
     });
+    if (!ends.empty() && m_sessionConfirmed && !m_applyingLoad)
+        report(std::move(ends), 0);
 }
 
 void batch_agent::markEnded(const item_run &run)
