--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -240,6 +240,7 @@
     absl::Time m_lateOrderUntil = absl::InfinitePast();
     /// Until when the heartbeats report that orders were left unanswered.
     absl::Time m_reportUnansweredUntil = absl::InfinitePast();
+    std::uint64_t m_startsSent = 0;
     bool m_shortLease = false; ///< a start was sent, and no poll was answered since
     std::optional<std::int64_t> m_workerClockMs;
     absl::Time m_workerClockReadAt;
