No order carries a lease before the decider can know that orders go unanswered

What callers saw: two runs of one item are possible when an agent is cut from the store while its worker leaves orders unanswered and carries them out late.

Cause and evidence: by review, by the times of the rule: the decider waits for late orders only if a heartbeat reported them, and an agent that is cut off cannot report.

Change: after an unanswered order, leases are extended again once the store has a heartbeat that reports it.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -240,6 +240,7 @@
     absl::Time m_lateOrderUntil = absl::InfinitePast();
     /// Until when the heartbeats report that orders were left unanswered.
     absl::Time m_reportUnansweredUntil = absl::InfinitePast();
+    bool m_unansweredReported = false; ///< the store holds a heartbeat with that report
     std::uint64_t m_startsSent = 0;
     bool m_shortLease = false; ///< a start was sent, and no poll was answered since
     std::optional<std::int64_t> m_workerClockMs;
--- a/include/hyssoppond/batch/lease_rule_func.h
+++ b/include/hyssoppond/batch/lease_rule_func.h
@@ -5,7 +5,8 @@
 /// without an answer may be carried out up to `LongestOrderDelay` later, and its lease may count
 /// from then, unless the worker has seen a higher fencing token before. The decider first records
 /// an eviction. It declares the runs lost only when every lease based on a read before that record
-/// has expired, also if its order was late and the agent was lost before it could raise its token.
+/// has expired, and `LongestOrderDelay` later if the agent had reported unanswered orders. An agent
+/// that cannot report them extends no lease.
 #pragma once
 
 #include <absl/time/time.h>
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -410,7 +410,11 @@
         absl::StrCat(m_options.agent.str(), "/", m_writer.epoch(), "/beat"), ++m_heartbeats, 1};
     request.deadline = m_hooks.now() + StoreTimeout;
     // A lost heartbeat is not repeated; the next one replaces it.
-    m_store->append(std::move(request), [](const append_answer &) {});
+    m_store->append(std::move(request),
+                    [this, reported = content.ordersUnanswered](const append_answer &answer) {
+                        m_unansweredReported = m_unansweredReported
+                            || (reported && answer.outcome == store_outcome::Ok);
+                    });
 }
 
 void batch_agent::onLoaded(const std::vector<stored_record> &records)
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -82,8 +82,10 @@
         return;
     const bool reported = m_hooks.now() < m_reportUnansweredUntil;
     m_reportUnansweredUntil = m_hooks.now() + UnansweredReportTime;
-    if (!reported)
+    if (!reported) {
+        m_unansweredReported = false;
         m_heartbeatAt = m_hooks.now();
+    }
     if (sentToken != currentToken())
         return;
     m_lateOrderUntil = m_hooks.now() + LongestOrderDelay;
@@ -104,6 +106,9 @@
     // An order that extends the lease needs a next token to supersede it.
     if (!m_workerClockMs || m_evicted || m_leaving || isSilent() || m_tokenStep == LastTokenStep)
         return std::nullopt;
+    // The decider waits for late orders only if it knows of them.
+    if (m_hooks.now() < m_reportUnansweredUntil && !m_unansweredReported)
+        return std::nullopt;
     const absl::Time now = m_hooks.now();
     const std::int64_t lease = allowedLeaseMs(m_follower.currentAsOf(), now, longestMs);
     if (lease <= 0)
