--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -238,9 +238,9 @@
     absl::Time m_leaseProofAsOf = absl::InfinitePast();
     /// Until when the worker may carry out an order that got no answer and is not superseded yet.
     absl::Time m_lateOrderUntil = absl::InfinitePast();
-    /// Until when the heartbeats report that orders were left unanswered.
-    absl::Time m_reportUnansweredUntil = absl::InfinitePast();
-    bool m_unansweredReported = false; ///< the store holds a heartbeat with that report
+    absl::Time m_unansweredSince = absl::InfinitePast(); ///< start of the series of such orders
+    absl::Time m_unansweredSeriesUntil = absl::InfinitePast();
+    absl::Time m_heartbeatStoredAt = absl::InfinitePast(); ///< when the newest stored one was sent
     std::uint64_t m_startsSent = 0;
     bool m_shortLease = false; ///< a start was sent, and no poll was answered since
     std::optional<std::int64_t> m_workerClockMs;
--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -142,8 +142,6 @@
     /// Last read that reached the newest heartbeat.
     absl::Time m_heartbeatsReadAt = absl::InfinitePast();
     std::map<process_id, agent_watch> m_watches;
-    /// Agents whose newest heartbeat reports unanswered orders.
-    std::set<process_id> m_ordersUnanswered;
     /// When the eviction of an agent was read, which is after it was recorded. Every entry keeps
     /// it, because otherwise the wait for the end of the last lease would start again with each new
     /// decider.
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -198,20 +198,10 @@
     unix_ms workerStartMs = 0; ///< incarnation of its worker
     /// Runs without progress, and for how long in ms.
     std::vector<std::pair<std::string, std::uint32_t>> stalled;
-    /// The worker has lately left orders unanswered and may still carry them out.
-    bool ordersUnanswered = false;
     template<class archive>
-    void save(archive &ar) const
-    {
-        ar(agent, workerStartMs, stalled, ordersUnanswered);
-    }
-    /// Heartbeats of earlier versions end before ordersUnanswered.
-    template<class archive>
-    void load(archive &ar)
+    void serialize(archive &ar)
     {
         ar(agent, workerStartMs, stalled);
-        if (ar.remaining() != 0)
-            ar(ordersUnanswered);
     }
 };
 
--- a/include/hyssoppond/batch/lease_rule_func.h
+++ b/include/hyssoppond/batch/lease_rule_func.h
@@ -5,8 +5,8 @@
 /// without an answer may be carried out up to `LongestOrderDelay` later, and its lease may count
 /// from then, unless the worker has seen a higher fencing token before. The decider first records
 /// an eviction. It declares the runs lost only when every lease based on a read before that record
-/// has expired, and `LongestOrderDelay` later if the agent had reported unanswered orders. An agent
-/// that cannot report them extends no lease.
+/// has expired. It does not wait for late orders: an agent raises its token after an unanswered
+/// order, and extends no lease while it cannot send heartbeats either.
 #pragma once
 
 #include <absl/time/time.h>
@@ -47,12 +47,10 @@
 }
 
 /// Earliest time at which the runs of an agent may be declared lost, if its eviction was in the
-/// journal at `recordedAt` or before. `ordersMayBeLate`: the agent reported that its worker left
-/// orders unanswered.
-inline absl::Time runsLostAt(absl::Time recordedAt, bool ordersMayBeLate)
+/// journal at `recordedAt` or before.
+inline absl::Time runsLostAt(absl::Time recordedAt)
 {
-    return recordedAt + JournalReadValidity + LeaseSlack
-        + (ordersMayBeLate ? LongestOrderDelay : absl::ZeroDuration());
+    return recordedAt + JournalReadValidity + LeaseSlack;
 }
 
 } // namespace hyssoppond::batch
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -401,7 +401,6 @@
     agent_heartbeat content;
     content.agent = m_options.agent;
     content.workerStartMs = m_description->workerStartMs;
-    content.ordersUnanswered = m_hooks.now() < m_reportUnansweredUntil;
     append_request request;
     request.topic = m_options.heartbeatTopic;
     request.records.push_back({"", encodeAgentHeartbeat(content), 0});
@@ -411,9 +410,9 @@
     request.deadline = m_hooks.now() + StoreTimeout;
     // A lost heartbeat is not repeated; the next one replaces it.
     m_store->append(std::move(request),
-                    [this, reported = content.ordersUnanswered](const append_answer &answer) {
-                        m_unansweredReported = m_unansweredReported
-                            || (reported && answer.outcome == store_outcome::Ok);
+                    [this, sentAt = m_hooks.now()](const append_answer &answer) {
+                        if (answer.outcome == store_outcome::Ok)
+                            m_heartbeatStoredAt = std::max(m_heartbeatStoredAt, sentAt);
                     });
 }
 
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -32,15 +32,13 @@
 /// A start is sent only with a lease of at least this length.
 constexpr std::int64_t ShortestLeaseMs = 1'000;
 
-/// Longest lease of a start, and of polls until one was answered after it. A start may be carried
-/// out late with its lease counting from then, also after its agent was lost and before it could
-/// report that orders are left unanswered. The lease then has to end before the run is given away.
-/// Polls extend it.
+/// Longest lease of a start, and of polls until one sent after it was answered. A start may be
+/// carried out late with its lease counting from then, also after its agent was lost. The lease
+/// then has to end before the run is given away. Polls extend it.
 constexpr std::int64_t StartLeaseMs = 2'700;
 
-/// How long the heartbeats report an unanswered order: late orders come in series, and the next one
-/// may be the last call of an agent that is lost.
-constexpr absl::Duration UnansweredReportTime = absl::Seconds(15);
+/// Unanswered orders with shorter pauses between them are one series.
+constexpr absl::Duration UnansweredSeriesPause = absl::Seconds(15);
 
 /// Attempts to start an item before the agent reports that it did not start.
 constexpr std::uint32_t MaxStartAttempts = 4;
@@ -80,12 +78,11 @@
 {
     if (outcome != order_outcome::NoAnswer)
         return;
-    const bool reported = m_hooks.now() < m_reportUnansweredUntil;
-    m_reportUnansweredUntil = m_hooks.now() + UnansweredReportTime;
-    if (!reported) {
-        m_unansweredReported = false;
+    if (m_hooks.now() >= m_unansweredSeriesUntil) {
+        m_unansweredSince = m_hooks.now();
         m_heartbeatAt = m_hooks.now();
     }
+    m_unansweredSeriesUntil = m_hooks.now() + UnansweredSeriesPause;
     if (sentToken != currentToken())
         return;
     m_lateOrderUntil = m_hooks.now() + LongestOrderDelay;
@@ -106,8 +103,9 @@
     // An order that extends the lease needs a next token to supersede it.
     if (!m_workerClockMs || m_evicted || m_leaving || isSilent() || m_tokenStep == LastTokenStep)
         return std::nullopt;
-    // The decider waits for late orders only if it knows of them.
-    if (m_hooks.now() < m_reportUnansweredUntil && !m_unansweredReported)
+    // An agent that is out of the decider's sight and does not know what its orders did may soon be
+    // evicted, and a late order could then outlast the wait for its leases.
+    if (m_hooks.now() < m_unansweredSeriesUntil && m_heartbeatStoredAt < m_unansweredSince)
         return std::nullopt;
     const absl::Time now = m_hooks.now();
     const std::int64_t lease = allowedLeaseMs(m_follower.currentAsOf(), now, longestMs);
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -243,10 +243,6 @@
             logDecision("beat ignored", "", heartbeat.error().message);
             continue;
         }
-        if (heartbeat->ordersUnanswered)
-            m_ordersUnanswered.insert(heartbeat->agent);
-        else
-            m_ordersUnanswered.erase(heartbeat->agent);
         agent_watch &watch = m_watches[heartbeat->agent];
         watch.silentSince = now;
         if (!gap)
@@ -284,8 +280,7 @@
             logRecord(reinstatement, "heartbeats received again");
             recordEviction(agent, reinstatement);
         } else if (evicted && holdsRuns && m_heartbeatsReadAt != absl::InfinitePast()
-                   && now >= runsLostAt(evictionReadAt, m_ordersUnanswered.contains(agent))
-                   && !watch.evictionQueued) {
+                   && now >= runsLostAt(evictionReadAt) && !watch.evictionQueued) {
             declareRunsLost(agent);
         }
     }
--- a/tests/batch_late_order_test.cpp
+++ b/tests/batch_late_order_test.cpp
@@ -97,7 +97,7 @@
 {
     start();
     runGang();
-    // Without a report of an unanswered order that the store has, no order would carry a lease.
+    // Without a heartbeat after the first unanswered order, no order would carry a lease.
     delayOrders(absl::Milliseconds(3'500));
     runFor(absl::Seconds(3));
     delayOrders(absl::ZeroDuration());
--- a/tests/odd_report_test.cpp
+++ b/tests/odd_report_test.cpp
@@ -201,7 +201,8 @@
           std::string(R"({"key":"a","value":"","offset":-1})"),
           std::string(R"({"key":"a","value":"","offset":1e300})"),
           std::string("{\"key\":\"a\xff\xc0\",\"value\":7,\"offset\":3}")}) {
-        const auto page = decodeNewest(R"({"items":[)" + odd + "," + usual + R"(],"end":6})");
+        const auto page
+            = decodeNewest(absl::StrCat(R"({"items":[)", odd, ",", usual, R"(],"end":6})"));
         ASSERT_TRUE(page.has_value()) << odd;
         ASSERT_EQ(page->records.size(), 1U) << odd;
         EXPECT_EQ(page->records[0].key, "config") << odd;
