Polls without a lease end the time of short leases too

Cause and evidence: by reading: after a start, polls do not wait until one of them was answered; only an answer to a poll with a lease counted. Without a lease (evicted, or unanswered orders and no heartbeat stored) an agent would have polled its worker without a pause.

Change: any answer to a poll that was sent after the start counts.

--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -428,22 +428,22 @@
     request.freshConnection = m_pollOnFreshConnection;
     const std::uint64_t lastSeen = request.acknowledgedEnd;
     const bool extendsLease = request.leaseUntilMs.has_value();
-    m_worker->poll(
-        std::move(request),
-        [this, sentToken = currentToken(), workerIncarnation = m_workerIncarnation, now, lastSeen,
-         extendsLease, startsSent = m_startsSent](const poll_answer &answer) {
-            m_polling = false;
-            if (answer.outcome == order_outcome::Done && extendsLease && startsSent == m_startsSent)
-                m_shortLease = false;
-            // Carried out late, it would extend the lease past the time for which the
-            // journal was read.
-            if (extendsLease)
-                supersedeIfUnanswered(answer.outcome, sentToken);
-            if (answer.outcome == order_outcome::Done && workerIncarnation == m_workerIncarnation)
-                m_acknowledgedEnd = std::max(m_acknowledgedEnd, lastSeen);
-            onPoll(answer, sentToken, workerIncarnation, now);
-            tick();
-        });
+    m_worker->poll(std::move(request),
+                   [this, sentToken = currentToken(), workerIncarnation = m_workerIncarnation, now,
+                    lastSeen, extendsLease, startsSent = m_startsSent](const poll_answer &answer) {
+                       m_polling = false;
+                       if (answer.outcome == order_outcome::Done && startsSent == m_startsSent)
+                           m_shortLease = false;
+                       // Carried out late, it would extend the lease past the time for which the
+                       // journal was read.
+                       if (extendsLease)
+                           supersedeIfUnanswered(answer.outcome, sentToken);
+                       if (answer.outcome == order_outcome::Done
+                           && workerIncarnation == m_workerIncarnation)
+                           m_acknowledgedEnd = std::max(m_acknowledgedEnd, lastSeen);
+                       onPoll(answer, sentToken, workerIncarnation, now);
+                       tick();
+                   });
 }
 
 item_run batch_agent::resolveListedRun(const item_run &listed) const
