An agent waits for late orders before it takes a silent worker for ended

Cause: the end of the last granted lease did not count orders that got no answer and may be carried out up to 12 s later, with their lease counting from then.

Change: the worker counts as ended only when no unanswered order with a lease can act any more.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -158,6 +158,8 @@
     std::optional<std::int64_t> leaseUntilMs(std::int64_t longestMs) const;
     /// Notes that an order grants a lease until `untilMs` on the worker's clock.
     void noteGrant(std::int64_t untilMs);
+    /// When no order that got no answer can keep a run alive any more.
+    absl::Time lateLeaseOverAt() const;
     void updateLeaseProof();
     /// Lease that was granted and the age of the evidence for it, for the log.
     std::string describeLease() const;
@@ -168,7 +170,7 @@
     void supersedeOrders();
     /// Raises the fencing token if an order with the present one got no answer, as the worker may
     /// still carry it out.
-    void supersedeIfUnanswered(order_outcome outcome, std::uint64_t sentToken);
+    void supersedeIfUnanswered(order_outcome outcome, std::uint64_t sentToken, bool extendsLease);
     /// The run that the worker lists, with the unit by which the journal names it.
     item_run resolveListedRun(const item_run &listed) const;
 
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -303,7 +303,8 @@
 {
     const absl::Time now = m_hooks.now();
     // Without runs nobody waits for the worker, and it is not polled.
-    if (isSilent() && !m_runs.empty() && now >= m_leaseOverAt) {
+    const bool leasesOver = now >= std::max(m_leaseOverAt, lateLeaseOverAt());
+    if (isSilent() && !m_runs.empty() && leasesOver) {
         endWorker();
         return;
     }
@@ -314,7 +315,7 @@
     if (settled || now >= m_noticeAnswerAt)
         answerNotices();
     // The worker is on the same machine, which refuses connections only while nobody listens.
-    if (settled || now >= m_leaseOverAt || m_refusedPolls >= MaxRefusedPolls)
+    if (settled || leasesOver || m_refusedPolls >= MaxRefusedPolls)
         endWorker();
 }
 
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -74,7 +74,8 @@
         recordSession();
 }
 
-void batch_agent::supersedeIfUnanswered(order_outcome outcome, std::uint64_t sentToken)
+void batch_agent::supersedeIfUnanswered(order_outcome outcome, std::uint64_t sentToken,
+                                        bool extendsLease)
 {
     if (outcome != order_outcome::NoAnswer)
         return;
@@ -83,9 +84,10 @@
         m_heartbeatAt = m_hooks.now();
     }
     m_unansweredSeriesUntil = m_hooks.now() + UnansweredSeriesPause;
+    if (extendsLease)
+        m_lateOrderUntil = m_hooks.now() + LongestOrderDelay;
     if (sentToken != currentToken())
         return;
-    m_lateOrderUntil = m_hooks.now() + LongestOrderDelay;
     supersedeOrders();
 }
 
@@ -125,6 +127,12 @@
         m_workerClockReadAt + absl::Milliseconds(leftMs) / (1.0 - WorkerClockError) + LeaseSlack);
 }
 
+absl::Time batch_agent::lateLeaseOverAt() const
+{
+    const absl::Duration longestLease = absl::Milliseconds(m_options.longestLeaseMs);
+    return m_lateOrderUntil + longestLease / (1.0 - WorkerClockError) + LeaseSlack;
+}
+
 void batch_agent::updateLeaseProof()
 {
     if (!m_evicted)
@@ -252,7 +260,7 @@
     updateWorkerClock(answer.workerClockMs);
     if (m_superseded)
         return;
-    supersedeIfUnanswered(answer.outcome, sentToken);
+    supersedeIfUnanswered(answer.outcome, sentToken, true);
     const auto found = m_runs.find(id);
     if (found == m_runs.end() || found->second.state != phase::Starting)
         return;
@@ -332,7 +340,7 @@
                            run->second.stopSent = false;
                            run->second.stopRetryAt = retryAt;
                        }
-                       supersedeIfUnanswered(answer.outcome, sentToken);
+                       supersedeIfUnanswered(answer.outcome, sentToken, false);
                        m_pollAt = std::max(m_pollAt, retryAt);
                    });
 }
@@ -437,7 +445,7 @@
                        // Carried out late, it would extend the lease past the time for which the
                        // journal was read.
                        if (extendsLease)
-                           supersedeIfUnanswered(answer.outcome, sentToken);
+                           supersedeIfUnanswered(answer.outcome, sentToken, true);
                        if (answer.outcome == order_outcome::Done
                            && workerIncarnation == m_workerIncarnation)
                            m_acknowledgedEnd = std::max(m_acknowledgedEnd, lastSeen);
