The platform's name of a lease's end stays in the adapter

Cause: a parameter of batch_agent had the name that the platform's wire gives to the end of a lease; such names belong to platform/ only.

Change: it is called leaseEndMs. No behaviour changes.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -156,8 +156,8 @@
     /// is allowed.
     /// A lease has at most `longestMs`.
     std::optional<std::int64_t> leaseUntilMs(std::int64_t longestMs) const;
-    /// Notes that an order grants a lease until `untilMs` on the worker's clock.
-    void noteGrant(std::int64_t untilMs);
+    /// Notes that an order grants a lease until `leaseEndMs` on the worker's clock.
+    void noteGrant(std::int64_t leaseEndMs);
     /// When no order that got no answer can keep a run alive any more.
     absl::Time lateLeaseOverAt() const;
     void updateLeaseProof();
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -118,10 +118,10 @@
     return *m_workerClockMs + static_cast<std::int64_t>(passed) + lease;
 }
 
-void batch_agent::noteGrant(std::int64_t untilMs)
+void batch_agent::noteGrant(std::int64_t leaseEndMs)
 {
-    m_grantedUntilMs = std::max(m_grantedUntilMs, untilMs);
-    const double leftMs = static_cast<double>(untilMs - m_workerClockMs.value_or(untilMs));
+    m_grantedUntilMs = std::max(m_grantedUntilMs, leaseEndMs);
+    const double leftMs = static_cast<double>(leaseEndMs - m_workerClockMs.value_or(leaseEndMs));
     m_leaseOverAt = std::max(
         m_leaseOverAt,
         m_workerClockReadAt + absl::Milliseconds(leftMs) / (1.0 - WorkerClockError) + LeaseSlack);
