An order is not sent twice when its connection breaks

What callers could see: an item runs on two workers at once. An agent takes a start for refused, the decider gives the item to another worker, and the first worker carries the start out seconds later.

Cause: when a kept connection ends before the first byte of an answer, libcurl sends the request again on a new connection, POST too, and reports only the second answer. A 503, 429 or 409 for the second copy, or a refused second connection, then counted as "nothing was done", although the first copy was delivered and had no answer. The agent reported the run as not started and did not raise its fencing token. Likewise a log_writer could withdraw records whose first copy was still to be appended, and use their sequence number for others.

Evidence: loop_test.callWhoseConnectionBreaksIsNotRepeated before: status 503 instead of none, 3 requests at the server instead of 2, and `refused` when nobody listens for the second copy.

Fix: the body of a POST comes from a callback that curl cannot rewind, so a second copy fails before it is sent and the call has no answer. A call counts as unsent or refused only if curl has taken nothing of its body. GET is still repeated by curl; it changes nothing at the store, and its age counts from the first copy.

--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -45,11 +45,21 @@
 struct http_client::transfer
 {
     http_call call;
+    std::size_t sentBytes = 0; ///< of the call's body
     http_reply reply;
     std::function<void(http_reply)> done;
     curl_slist *headers = nullptr;
 
     ~transfer() { curl_slist_free_all(headers); }
+
+    /// Gives curl the next part of the call's body.
+    static std::size_t readBody(char *data, std::size_t size, std::size_t count, void *self)
+    {
+        auto *current = static_cast<transfer *>(self);
+        const std::size_t length = current->call.body.copy(data, size * count, current->sentBytes);
+        current->sentBytes += length;
+        return length;
+    }
 };
 
 http_client::http_client(event_loop *loop)
@@ -100,7 +110,11 @@
     curl_easy_setopt(easy, CURLOPT_URL, current->call.url.c_str());
     if (call.method != "GET") {
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, current->call.body.data());
+        // When a kept connection breaks, curl sends the request again by itself, unless that needs
+        // a body that it cannot rewind. The server may still carry out the first copy, whatever it
+        // answers to the second one.
+        curl_easy_setopt(easy, CURLOPT_READFUNCTION, &transfer::readBody);
+        curl_easy_setopt(easy, CURLOPT_READDATA, current.get());
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(current->call.body.size()));
     }
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendBody);
@@ -203,10 +217,13 @@
     } else {
         curl_off_t preTransferTime = 0;
         curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &preTransferTime);
-        current->reply.unsent = preTransferTime == 0;
+        // Curl may have tried to connect once more after the connection of the call broke.
+        const bool nothingSent = current->sentBytes == 0;
+        current->reply.unsent = preTransferTime == 0 && nothingSent;
         long systemError = 0;
         curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &systemError);
-        current->reply.refused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
+        current->reply.refused
+            = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED && nothingSent;
         current->reply.problem = curl_easy_strerror(code);
     }
     curl_multi_remove_handle(m_multi, easy);
--- a/tests/loop_test.cpp
+++ b/tests/loop_test.cpp
@@ -6,12 +6,15 @@
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <ctime>
+#include <thread>
 
 namespace {
 
@@ -48,6 +51,83 @@
     return ntohs(address.sin_port);
 }
 
+/// Server on loopback that answers the first request, takes the second one of the same connection
+/// and then closes the connection without an answer.
+class closing_server
+{
+public:
+    /// With `refuseLater`, nobody listens any more when the connection is closed.
+    explicit closing_server(bool refuseLater)
+        : m_listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        EXPECT_EQ(bind(m_listener, reinterpret_cast<sockaddr *>(&address), size), 0);
+        EXPECT_EQ(listen(m_listener, 4), 0);
+        getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
+        port = ntohs(address.sin_port);
+        m_thread = std::thread([this, refuseLater] { run(refuseLater); });
+    }
+    ~closing_server() { m_thread.join(); }
+    closing_server(const closing_server &) = delete;
+    closing_server &operator=(const closing_server &) = delete;
+
+    std::uint16_t port = 0;
+    std::atomic<int> requests = 0;
+
+private:
+    static bool isReadable(int descriptor)
+    {
+        pollfd waiting {descriptor, POLLIN, 0};
+        return poll(&waiting, 1, 2'000) == 1;
+    }
+
+    /// Reads a request whose body ends with "end".
+    void takeRequest(int connection)
+    {
+        std::string text;
+        char part[512];
+        while (!text.ends_with("end") && isReadable(connection)) {
+            const ssize_t length = read(connection, part, sizeof part);
+            if (length <= 0)
+                return;
+            text.append(part, static_cast<std::size_t>(length));
+        }
+        requests += text.ends_with("end") ? 1 : 0;
+    }
+
+    static void answer(int connection, const std::string &status)
+    {
+        const std::string text = "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n";
+        EXPECT_EQ(write(connection, text.data(), text.size()), static_cast<ssize_t>(text.size()));
+    }
+
+    void run(bool refuseLater)
+    {
+        const int first = accept(m_listener, nullptr, nullptr);
+        takeRequest(first);
+        answer(first, "200 OK");
+        takeRequest(first);
+        if (refuseLater)
+            close(m_listener);
+        close(first);
+        if (refuseLater)
+            return;
+        if (isReadable(m_listener)) {
+            const int second = accept(m_listener, nullptr, nullptr);
+            takeRequest(second);
+            answer(second, "503 Unavailable");
+            close(second);
+        }
+        close(m_listener);
+    }
+
+    int m_listener;
+    std::thread m_thread;
+};
+
 class loop_test : public testing::Test
 {
 protected:
@@ -204,6 +284,30 @@
     server.reset();
 }
 
+// Guards against an order that curl repeats by itself when its connection breaks. The answer to the
+// second copy, here a refusal, hides that the server may still carry out the first one.
+TEST_F(loop_test, callWhoseConnectionBreaksIsNotRepeated)
+{
+    for (const bool refuseLater : {false, true}) {
+        closing_server server(refuseLater);
+        m_options.port = server.port;
+        http_client client(&m_loop);
+        http_reply reply;
+        client.send(makeCall("first end"), [&](const http_reply &first) {
+            EXPECT_EQ(first.status, 200);
+            client.send(makeCall("second end"), [&](http_reply second) {
+                reply = std::move(second);
+                m_loop.stop();
+            });
+        });
+        m_loop.run();
+        EXPECT_EQ(reply.status, 0) << reply.problem;
+        EXPECT_FALSE(reply.unsent);
+        EXPECT_FALSE(reply.refused);
+        EXPECT_EQ(server.requests, 2);
+    }
+}
+
 // Guards against a call that holds up its caller after a suspension of the machine, because curl's
 // clock did not count that time.
 TEST_F(loop_test, callEndsWhenTheSuspensionInWhichItWasDueHasEnded)
