--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -4,6 +4,8 @@
 #include "platform/store_adapter.h"
 #include "platform/wire_decode_func.h"
 
+#include "hyssoppond/loop/http_server_base.h"
+
 #include <gtest/gtest.h>
 #include <random>
 #include <rapidcheck.h>
@@ -185,6 +187,52 @@
     EXPECT_FALSE(decodeRecords("t", 0, std::string(16, '\0') + "\x7f\xff\xff\xff").has_value());
 }
 
+// Guards against idle processes that take their journal for older than it is, so that an agent
+// refuses the orders of gangs as late: the wait of a long read was not passed on.
+TEST(store_adapter_test, emptyAnswerOfALongReadTellsItsWait)
+{
+    event_loop loop;
+    loop.callAt(event_loop::steadyNow() + absl::Seconds(20), [&loop] { loop.stop(); });
+    http_server_options options;
+    options.host = "127.0.0.1";
+    std::string body(16, '\0');
+    std::unique_ptr<http_server> server;
+    for (options.port = 21'000; !server; ++options.port) {
+        try {
+            server = std::make_unique<http_server>(
+                &loop, options, [&body](const http_request &, const http_responder &respond) {
+                    http_response response;
+                    response.body = body;
+                    respond(response);
+                });
+        } catch (const std::exception &) { // the port is taken
+            ASSERT_LT(options.port, 21'100);
+        }
+    }
+    http_client client(&loop);
+    const batch::store_port store
+        = makeStorePort(&client, {options.host, static_cast<std::uint16_t>(options.port - 1)});
+    const absl::Duration wait = absl::Milliseconds(30);
+    const auto read = [&] {
+        batch::read_answer result;
+        store.read({"keyed.t", 5, wait, event_loop::steadyNow() + absl::Seconds(10), false},
+                   [&](batch::read_answer answer) {
+                       result = std::move(answer);
+                       loop.stop();
+                   });
+        loop.run();
+        return result;
+    };
+    // The store answers at once about a topic that was never written to.
+    batch::read_answer answer = read();
+    EXPECT_EQ(answer.outcome, batch::store_outcome::Ok);
+    EXPECT_EQ(answer.waited, absl::ZeroDuration());
+    body[7] = 5; // the end
+    answer = read();
+    EXPECT_EQ(answer.outcome, batch::store_outcome::Ok);
+    EXPECT_EQ(answer.waited, wait);
+}
+
 // Guards against a refusal without a Retry-After header or with a wrong status, and against call
 // fields that are lost.
 TEST(front_adapter_test, translatesCallsAndReplies)
