An agent process waits for late orders of the processes before it

What callers could see: two runs of all items of a gang at once. A worker leaves orders unanswered and carries them out seconds later, its agent restarts, and the worker gives notice.

Cause: a leaving worker that does not answer counts as ended when the last lease is over and no late order can extend it. A new agent process knew nothing of the orders that the process before it had sent: it counted 6.6 s from its own start for their leases, and nothing for late ones. One that is carried out in this time extends the lease once more.

--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -59,7 +59,9 @@
     m_follower.onReachable = [this](bool reachable) {
         logDecision(reachable ? "store regained" : "store lost", "", "");
     };
-    // An earlier process of this agent may have granted a lease until now.
+    // An earlier process of this agent may have granted a lease until now, and may have sent orders
+    // that are still to be carried out.
+    m_lateOrderUntil = m_hooks.now() + LongestOrderDelay;
     m_leaseOverAt = m_hooks.now()
         + absl::Milliseconds(m_options.longestLeaseMs) / (1.0 - WorkerClockError) + LeaseSlack;
     recordSession();
--- a/tests/batch_late_order_test.cpp
+++ b/tests/batch_late_order_test.cpp
@@ -192,6 +192,27 @@
     EXPECT_THAT(m_site->history.breaches, IsEmpty()) << m_site->decisionsAbout(m_id);
 }
 
+// Guards against runs that are given away although a late poll of an earlier process of the agent
+// has extended their lease: the next process counted the wait for a leaving worker from its own
+// start, as if no such poll were on its way.
+TEST_F(batch_late_order_test, runsOfALeavingWorkerWaitForTheLatePollsOfAnEarlierProcess)
+{
+    start();
+    runGang();
+    delayOrders(absl::Seconds(4));
+    runFor(absl::Milliseconds(1'600));
+    m_site->kill("agent-0");
+    m_site->startAgent("agent-0");
+    offerOtherWorker();
+    runFor(absl::Seconds(1));
+    m_site->agents.at("agent-0")->node->onWorkerLeft(worker().description().worker);
+    runFor(absl::Seconds(8));
+    ASSERT_EQ(worker().running(), 2U) << "no late poll kept the runs alive";
+    runFor(absl::Seconds(40));
+    EXPECT_EQ(m_site->history.starts, 4U);
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << m_site->decisionsAbout(m_id);
+}
+
 // Guards against a gang that is given up because a start on its way was refused: a poll without an
 // answer had raised the token meanwhile.
 TEST_F(batch_late_order_test, startRefusedForItsTokenIsRepeatedInTimeForItsGang)
