--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -77,8 +77,9 @@
         std::string checkpoint;
         absl::Time receivedAt;                         ///< when the order was read
         absl::Time startedAt = absl::InfiniteFuture(); ///< when the worker confirmed the start
-        bool stale = false;        ///< the order may be much older than `receivedAt`
-        unix_ms workerStartMs = 0; ///< identifies the worker incarnation of the order
+        bool stale = false;            ///< the order may be much older than `receivedAt`
+        unix_ms workerStartMs = 0;     ///< identifies the worker incarnation of the order
+        std::uint64_t orderOffset = 0; ///< of the order in the journal
         bool gang = false;
         bool unwanted = false; ///< to be stopped
         bool stopSent = false;
@@ -102,8 +103,10 @@
     void onLoaded(const std::vector<stored_record> &records);
     void onRecords(const std::vector<stored_record> &records);
     void applyRecord(const stored_record &stored, bool stale);
-    void onOrdered(const run_ordered &ordered, bool stale);
-    void onOwnAnnouncement(const agent_announced &announced);
+    void onOrdered(const run_ordered &ordered, std::uint64_t offset, bool stale);
+    void onOwnAnnouncement(const agent_announced &announced, std::uint64_t offset);
+    /// Remembers the newest announcement of this agent that was written or read.
+    void noteAnnouncement(const agent_announced &announced, std::uint64_t offset);
     void markEnded(const item_run &run);
     /// Forgets the unread ends that were handed over since.
     void pruneUnreadEnds();
@@ -218,6 +221,9 @@
     /// Start time of the worker in the agent's latest announcement that was read from the journal;
     /// 0 if it said that there is no worker.
     std::optional<unix_ms> m_announcedStartMs;
+    /// The agent's newest announcement in the journal, with its first offset in presentSince.
+    std::optional<agent_announced> m_newestAnnouncement;
+    std::uint64_t m_newestAnnouncementOffset = 0;
     std::set<job_id> m_endedJobs; ///< cancelled or failed
     std::map<process_id, std::string> m_entryAddresses;
     std::set<std::pair<unit_id, std::uint32_t>> m_stoppingRuns;
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -10,6 +10,7 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
+#include <limits>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -138,17 +139,36 @@
     }
 };
 
+/// Value of agent_announced::presentSince of the first announcement of an incarnation in a row.
+inline constexpr std::uint64_t PresentSinceThisRecord = std::numeric_limits<std::uint64_t>::max();
+
 /// A worker has started, restarted, started to drain or left. Runs that were ordered for another
-/// incarnation of the worker are lost.
+/// incarnation of the worker are lost. So are those ordered before `presentSince`, as an earlier
+/// announcement said otherwise; the store has dropped it.
 struct agent_announced
 {
     process_id agent;
     bool hasWorker = false; ///< false: the worker has left or is not known yet
     worker_description worker;
+    /// Offset of the first of the announcements of this incarnation in a row; 0 if it is not known.
+    std::uint64_t presentSince = 0;
     template<class archive>
-    void serialize(archive &ar)
+    void save(archive &ar) const
+    {
+        ar(agent, hasWorker, worker, presentSince);
+    }
+    /// Records of earlier versions end before presentSince.
+    template<class archive>
+    void load(archive &ar)
     {
         ar(agent, hasWorker, worker);
+        if (ar.remaining() != 0)
+            ar(presentSince);
+    }
+    /// Offset before which orders for this incarnation are void, if this record has `offset`.
+    std::uint64_t firstValidOrder(std::uint64_t offset) const
+    {
+        return presentSince == PresentSinceThisRecord ? offset : presentSince;
     }
 };
 
--- a/include/hyssoppond/batch/batch_state_base.h
+++ b/include/hyssoppond/batch/batch_state_base.h
@@ -26,6 +26,7 @@
     std::vector<member_state> members;
     bool stopping = false;
     unix_ms orderedMs = 0;
+    std::uint64_t orderOffset = 0; ///< of the record that ordered it
 };
 
 /// An item, or a gang as a whole, with its runs.
--- a/src/batch/batch_agent_journal.cpp
+++ b/src/batch/batch_agent_journal.cpp
@@ -67,7 +67,7 @@
         return;
     }
     if (const auto *ordered = std::get_if<run_ordered>(&*decoded)) {
-        onOrdered(*ordered, stale);
+        onOrdered(*ordered, stored.offset, stale);
     } else if (const auto *stopping = std::get_if<run_stopping>(&*decoded)) {
         m_stoppingRuns.insert({stopping->unit, stopping->run});
         for (auto &[id, run] : m_runs)
@@ -85,7 +85,7 @@
         }
     } else if (const auto *announced = std::get_if<agent_announced>(&*decoded)) {
         if (announced->agent == m_options.agent)
-            onOwnAnnouncement(*announced);
+            onOwnAnnouncement(*announced, stored.offset);
     } else if (const auto *cancelled = std::get_if<job_cancelled>(&*decoded)) {
         markUnwanted(cancelled->job);
     } else if (const auto *failed = std::get_if<job_failed>(&*decoded)) {
@@ -102,7 +102,7 @@
     }
 }
 
-void batch_agent::onOrdered(const run_ordered &ordered, bool stale)
+void batch_agent::onOrdered(const run_ordered &ordered, std::uint64_t offset, bool stale)
 {
     // The decider orders a unit again only when its earlier runs are over.
     for (auto &[id, run] : m_runs)
@@ -128,6 +128,7 @@
         run.receivedAt = m_hooks.now();
         run.stale = stale;
         run.workerStartMs = member.workerStartMs;
+        run.orderOffset = offset;
         run.gang = ordered.gang;
         run.unwanted = m_leaving || m_endedJobs.contains(ordered.unit.job)
             || m_stoppingRuns.contains({ordered.unit, ordered.run});
@@ -135,15 +136,19 @@
     }
 }
 
-void batch_agent::onOwnAnnouncement(const agent_announced &announced)
+void batch_agent::onOwnAnnouncement(const agent_announced &announced, std::uint64_t offset)
 {
-    // As in batch_state: orders before the announcement are void unless they name this incarnation.
+    // As in batch_state: orders before the announcement are void unless they name this incarnation
+    // and followed its first announcement.
+    noteAnnouncement(announced, offset);
     m_announcedStartMs = announced.hasWorker ? announced.worker.workerStartMs : 0;
+    const std::uint64_t firstValidOrder = announced.firstValidOrder(offset);
     std::vector<run_ended> ends;
-    std::erase_if(m_runs, [this, &ends](const auto &entry) {
+    std::erase_if(m_runs, [this, &ends, firstValidOrder](const auto &entry) {
         const local_run &run = entry.second;
-        const bool isVoid = run.workerStartMs != *m_announcedStartMs && run.state == phase::Ordered
-            && !run.uncertain;
+        const bool isValid
+            = run.workerStartMs == *m_announcedStartMs && run.orderOffset >= firstValidOrder;
+        const bool isVoid = !isValid && run.state == phase::Ordered && !run.uncertain;
         if (isVoid) {
             m_voidedRuns.insert(entry.first);
             ends.push_back(endOf(entry.first, run_end::NotStarted, ""));
@@ -154,6 +159,15 @@
         report(std::move(ends), 0);
 }
 
+void batch_agent::noteAnnouncement(const agent_announced &announced, std::uint64_t offset)
+{
+    if (m_newestAnnouncement && offset < m_newestAnnouncementOffset)
+        return;
+    m_newestAnnouncement = announced;
+    m_newestAnnouncement->presentSince = announced.firstValidOrder(offset);
+    m_newestAnnouncementOffset = offset;
+}
+
 void batch_agent::markEnded(const item_run &run)
 {
     m_endedRuns.insert(run);
--- a/src/batch/batch_agent_worker.cpp
+++ b/src/batch/batch_agent_worker.cpp
@@ -182,24 +182,30 @@
     record.hasWorker = m_description.has_value();
     if (m_description)
         record.worker = *m_description;
+    // Announcements begin after all those of earlier processes were read, so the newest one is
+    // known.
+    const bool wasPresent = m_newestAnnouncement && m_newestAnnouncement->hasWorker
+        && m_newestAnnouncement->worker.workerStartMs == record.worker.workerStartMs;
+    record.presentSince = wasPresent ? m_newestAnnouncement->presentSince : PresentSinceThisRecord;
     const batch_record content = record;
-    m_writer.write(
-        {{keyOf(content), encodeRecord(content), 0}}, absl::InfiniteFuture(),
-        [this, workerIncarnation = m_workerIncarnation,
-         announcedStartMs = record.worker.workerStartMs](write_result writeResult,
-                                                         std::uint64_t offset) {
-            m_announcing = false;
-            if (writeResult != write_result::Written) {
-                retire("the store refused the announcement of its worker");
-                return;
-            }
-            logDecision("announced", m_options.agent.str(),
-                        absl::StrCat("offset ", offset, ", worker incarnation ", announcedStartMs));
-            if (workerIncarnation == m_workerIncarnation && m_description && !m_announced) {
-                m_announced = true;
-                m_announcedOffset = offset;
-            }
-        });
+    m_writer.write({{keyOf(content), encodeRecord(content), 0}}, absl::InfiniteFuture(),
+                   [this, workerIncarnation = m_workerIncarnation, record](write_result writeResult,
+                                                                           std::uint64_t offset) {
+                       m_announcing = false;
+                       if (writeResult != write_result::Written) {
+                           retire("the store refused the announcement of its worker");
+                           return;
+                       }
+                       noteAnnouncement(record, offset);
+                       logDecision("announced", m_options.agent.str(),
+                                   absl::StrCat("offset ", offset, ", worker incarnation ",
+                                                record.worker.workerStartMs));
+                       if (workerIncarnation == m_workerIncarnation && m_description
+                           && !m_announced) {
+                           m_announced = true;
+                           m_announcedOffset = offset;
+                       }
+                   });
 }
 
 void batch_agent::probe()
--- a/src/batch/batch_state.cpp
+++ b/src/batch/batch_state.cpp
@@ -139,6 +139,7 @@
     run_state run;
     run.run = record.run;
     run.orderedMs = record.orderedMs;
+    run.orderOffset = m_offset;
     for (const run_member &member : record.members) {
         run.members.push_back({member, std::nullopt});
         m_runsOn[member.agent].insert(record.unit);
@@ -194,9 +195,10 @@
         unit_state *unit = mutableUnit(id);
         for (std::size_t i = 0; unit->active && i < unit->active->members.size(); ++i) {
             member_state &member = unit->active->members[i];
-            const bool sameIncarnation
-                = record.hasWorker && member.member.workerStartMs == record.worker.workerStartMs;
-            if (member.member.agent == record.agent && !member.end && !sameIncarnation)
+            const bool isValid = record.hasWorker
+                && member.member.workerStartMs == record.worker.workerStartMs
+                && unit->active->orderOffset >= record.firstValidOrder(m_offset);
+            if (member.member.agent == record.agent && !member.end && !isValid)
                 endMember(id, unit, &member, run_end::Lost, "", end_evidence::WorkerIncarnation);
         }
     }
--- /dev/null
+++ b/tests/batch_end_proof_test.cpp
@@ -0,0 +1,110 @@
+/// @file Tests that the end of a run is concluded only from what proves it. Each names the failure
+/// that it guards against.
+#include "batch_site_base.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace hyssoppond::batch {
+namespace {
+
+using testing::IsEmpty;
+
+/// Time until entries and agents know each other and one entry decides.
+constexpr absl::Duration StartTime = absl::Seconds(5);
+
+/// A site of one worker, with an order that follows the announcement that there is no worker. The
+/// same incarnation of the worker is announced again afterwards.
+class batch_void_order_test : public testing::Test
+{
+protected:
+    /// Lets the agent announce that its worker is gone, on a false notice, after the decider has
+    /// decided the order and before the order is stored. Ends the agent then.
+    void orderBehindTheEndOfTheWorker()
+    {
+        m_site = std::make_unique<batch_site>(1, 1, 1);
+        m_site->clock.runFor(StartTime);
+        m_site->workers.at("agent-0")->itemTime = absl::Seconds(20);
+        store_port &port = m_site->entries.at("entry-0")->port;
+        const auto send = port.append;
+        port.append = [this, send](const append_request &request,
+                                   const std::function<void(append_answer)> &done) {
+            if (m_noticed || !request.records.front().key.starts_with("o:")) {
+                send(request, done);
+                return;
+            }
+            m_noticed = true;
+            m_site->agents.at("agent-0")->node->onWorkerLeft(
+                m_site->workers.at("agent-0")->description().worker);
+            m_site->clock.after(absl::Milliseconds(50),
+                                [send, request, done] { send(request, done); });
+        };
+        m_site->submit("entry-0", m_id, "normal", batch_site::stepOf(1, 1, false));
+        ASSERT_TRUE(runUntil([&] { return newestKey().starts_with("o:"); })) << decisions();
+        m_site->kill("agent-0");
+        const auto &records = m_site->store.recordsOf(JournalTopic);
+        const auto announced = decodeRecord(records.at(records.size() - 2).value);
+        ASSERT_FALSE(std::get<agent_announced>(*announced).hasWorker);
+    }
+
+    /// Runs until the agent has announced its worker.
+    void awaitAnnouncement()
+    {
+        ASSERT_TRUE(runUntil([&] { return newestKey().starts_with("n:"); })) << decisions();
+    }
+
+    template<class condition>
+    bool runUntil(condition isMet)
+    {
+        for (int i = 0; i < 5'000 && !isMet(); ++i)
+            m_site->clock.runFor(absl::Milliseconds(1));
+        return isMet();
+    }
+
+    std::string newestKey() { return m_site->store.recordsOf(JournalTopic).back().key; }
+
+    job_status status() const
+    {
+        const job_state *job = m_site->entries.at("entry-0")->node->state().find(job_id(m_id));
+        return job == nullptr ? job_status::Queued : job->status();
+    }
+
+    std::string decisions() const { return m_site->decisionsAbout(m_id); }
+
+    std::unique_ptr<batch_site> m_site;
+    bool m_noticed = false; ///< the false notice was sent
+    std::string m_id = batch_site::idOf(1);
+};
+
+// Guards against a job that waits for ever: an agent that loads the order takes it for void, and a
+// decider that loads the journal after the next announcement takes it for running.
+TEST_F(batch_void_order_test, agentAndDeciderThatLoadTheOrderAgreeThatItIsVoid)
+{
+    orderBehindTheEndOfTheWorker();
+    m_site->kill("entry-0");
+    m_site->startAgent("agent-0");
+    awaitAnnouncement();
+    m_site->startEntry("entry-0");
+    m_site->clock.runFor(absl::Seconds(30));
+    EXPECT_EQ(status(), job_status::Completed) << decisions();
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
+}
+
+// Guards against a second run of an item: a process of the agent that loads the journal after the
+// next announcement takes the order for valid, and a decider that has read all records takes it for
+// lost.
+TEST_F(batch_void_order_test, laterProcessOfTheAgentDoesNotStartTheRun)
+{
+    orderBehindTheEndOfTheWorker();
+    m_site->suspend("entry-0", absl::Seconds(4), suspended_clock::GoesOn);
+    m_site->startAgent("agent-0");
+    awaitAnnouncement();
+    m_site->kill("agent-0");
+    m_site->startAgent("agent-0");
+    m_site->clock.runFor(absl::Seconds(40));
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
+    EXPECT_EQ(status(), job_status::Completed) << decisions();
+}
+
+} // namespace
+} // namespace hyssoppond::batch
--- a/tests/batch_state_load_test.cpp
+++ b/tests/batch_state_load_test.cpp
@@ -255,10 +255,13 @@
         record.hasWorker = hasWorker;
         record.worker.workerStartMs = startMs;
         record.worker.draining = m_clock->uniform() < 0.2;
+        const bool wasPresent = hasWorker && startMs == m_startMs[agent];
+        record.presentSince = wasPresent ? m_presentSince[agent] : PresentSinceThisRecord;
         if (startMs != m_startMs[agent])
             m_previousStartMs[agent] = m_startMs[agent];
         m_startMs[agent] = startMs;
         write(record);
+        m_presentSince[agent] = record.firstValidOrder(m_position - 1);
     }
 
     void changeWorker()
@@ -271,9 +274,11 @@
         case 1:
             announce(agent, true, ++m_lastStartMs);
             break;
-        default: // another state of the same incarnation
+        default: // another state of the same incarnation, or its return after false notice
             if (m_startMs[agent] != 0)
                 announce(agent, true, m_startMs[agent]);
+            else if (m_previousStartMs[agent] != 0)
+                announce(agent, true, m_previousStartMs[agent]);
             break;
         }
         if (m_clock->uniform() < 0.5)
@@ -310,6 +315,7 @@
     std::vector<process_id> m_agents;
     std::map<process_id, unix_ms> m_startMs; ///< of the announced worker; 0: none
     std::map<process_id, unix_ms> m_previousStartMs;
+    std::map<process_id, std::uint64_t> m_presentSince; ///< of the announced worker
     std::vector<open_member> m_ended;
     unix_ms m_lastStartMs = 1'000;
     epoch_number m_epoch = 0;
