--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -4,6 +4,7 @@
 #include "hyssoppond/batch/item_worker_port.h"
 #include "hyssoppond/fakes/virtual_clock_base.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -13,7 +14,8 @@
 
 namespace hyssoppond {
 
-/// Records which items all workers of a test ran, and every breach: an item that runs twice at
+/// Records which items all workers of a test ran, lets the members of gangs work together, and
+/// records every breach: an item that runs twice at
 /// once, on two workers or on one, and an item that starts after its end as Done was acknowledged.
 class item_history
 {
@@ -28,12 +30,31 @@
     /// Records that the agent acknowledged the end of a run.
     void endAcknowledged(const std::string &item, batch::run_end runEnd);
 
-    std::vector<std::string> breaches; ///< one message each, oldest first
-    std::size_t starts = 0;            ///< runs started
-    std::size_t done = 0;              ///< items acknowledged as Done
+    /// Tells that a member of a gang started. `end` ends it on its worker. The members work from
+    /// the moment when all are present and end together `itemTime` later. One that waits too long
+    /// for the others ends as Alone, and if one ends early, the others end as Broken.
+    void gangMemberStarted(const batch::item_run &id, absl::Duration itemTime,
+                           std::function<void(batch::run_end)> end);
+    void gangMemberEnded(const batch::item_run &id, batch::run_end runEnd);
+    bool isGang(const batch::unit_id &unit) const { return gangSizes.contains(gangNameOf(unit)); }
+    /// JOB.OCCURRENCE.STEP.
+    static std::string gangNameOf(const batch::unit_id &unit);
+
+    std::map<std::string, std::size_t> gangSizes; ///< members of each gang, by gangNameOf
+    std::vector<std::string> breaches;            ///< one message each, oldest first
+    std::size_t starts = 0;                       ///< runs started
+    std::size_t done = 0;                         ///< items acknowledged as Done
 
 private:
+    struct gang_run
+    {
+        std::map<std::uint32_t, std::function<void(batch::run_end)>> members; ///< present ones
+        bool working = false;
+    };
+
     virtual_clock *m_clock;
+    /// By gangNameOf and run.
+    std::map<std::pair<std::string, std::uint32_t>, std::shared_ptr<gang_run>> m_gangRuns;
     std::map<std::string, std::multiset<std::string>> m_running; ///< workers, by item
     std::set<std::string> m_done;
 };
--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -21,6 +21,11 @@
 /// Interval in which a long poll checks for ended items.
 constexpr absl::Duration EndPollInterval = absl::Milliseconds(10);
 
+/// How long a member of a gang waits for the others.
+constexpr absl::Duration GangTimeout = absl::Seconds(3);
+/// Time until the members of a gang notice that another one has ended.
+constexpr absl::Duration BrokenNoticeTime = absl::Milliseconds(30);
+
 /// Name of an item as item_history uses it: JOB.OCCURRENCE.STEP.INDEX.
 std::string itemNameOf(const item_run &id)
 {
@@ -65,6 +70,49 @@
         ++done;
 }
 
+std::string item_history::gangNameOf(const batch::unit_id &unit)
+{
+    return absl::StrCat(unit.job.str(), ".", unit.occurrence, ".", unit.step);
+}
+
+void item_history::gangMemberStarted(const item_run &id, absl::Duration itemTime,
+                                     std::function<void(run_end)> end)
+{
+    const std::string gang = gangNameOf(id.unit);
+    std::shared_ptr<gang_run> &run = m_gangRuns[{gang, id.run}];
+    if (!run)
+        run = std::make_shared<gang_run>();
+    run->members[id.member] = std::move(end);
+    if (run->members.size() == gangSizes.at(gang)) {
+        run->working = true;
+        m_clock->after(itemTime, [run] {
+            if (!run->working)
+                return;
+            const auto members = run->members;
+            for (const auto &[member, endMember] : members)
+                endMember(run_end::Done);
+        });
+        return;
+    }
+    m_clock->after(GangTimeout, [run, member = id.member] {
+        if (!run->working && run->members.contains(member))
+            std::function(run->members.at(member))(run_end::Alone);
+    });
+}
+
+void item_history::gangMemberEnded(const item_run &id, run_end runEnd)
+{
+    const auto found = m_gangRuns.find({gangNameOf(id.unit), id.run});
+    if (found == m_gangRuns.end() || found->second->members.erase(id.member) == 0)
+        return;
+    gang_run &run = *found->second;
+    if (runEnd == run_end::Done || !run.working)
+        return;
+    run.working = false;
+    for (const auto &[member, endMember] : run.members)
+        m_clock->after(BrokenNoticeTime, [endMember] { endMember(run_end::Broken); });
+}
+
 fake_item_worker::fake_item_worker(virtual_clock *clock, item_history *history,
                                    batch::worker_description description)
     : m_clock(clock)
@@ -89,9 +137,12 @@
 
 void fake_item_worker::restart()
 {
-    for (const auto &[id, run] : m_runs)
-        m_history->ended(run.item, m_description.worker);
+    const std::map<item_run, run_entry> lost = std::move(m_runs);
     m_runs.clear();
+    for (const auto &[id, run] : lost) {
+        m_history->ended(run.item, m_description.worker);
+        m_history->gangMemberEnded(id, run_end::Lost);
+    }
     m_ended.clear();
     m_highestEndedRun.clear();
     m_token = 0;
@@ -154,14 +205,19 @@
     highestEnded = std::max(highestEnded, id.run);
     m_runs.erase(found);
     m_ended.push_back({++m_lastEnd, asListed(id), runEnd, ""});
+    m_history->gangMemberEnded(id, runEnd);
 }
 
 void fake_item_worker::scheduleDone(const item_run &id)
 {
-    m_clock->after(itemTime, [this, id, workerIncarnation = m_workerIncarnation] {
+    const auto endRun = [this, id, workerIncarnation = m_workerIncarnation](run_end how) {
         if (workerIncarnation == m_workerIncarnation)
-            end(id, faults.failAll ? run_end::Failed : run_end::Done);
-    });
+            end(id, faults.failAll && how == run_end::Done ? run_end::Failed : how);
+    };
+    if (m_history->isGang(id.unit))
+        m_history->gangMemberStarted(id, itemTime, endRun);
+    else
+        m_clock->after(itemTime, [endRun] { endRun(run_end::Done); });
 }
 
 batch::order_answer fake_item_worker::startNow(const batch::start_order &order,
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -154,6 +154,8 @@
         request.host = "host";
         request.path = path;
         request.key = "key";
+        if (kind == call_kind::Submit)
+            registerGangs(path, *job);
         request.job = std::move(job);
         request.deadline = clock.now() + absl::Seconds(3);
         auto reply = std::make_shared<job_reply>();
@@ -335,6 +337,19 @@
 
     static constexpr absl::Duration RestartDelay = absl::Seconds(1);
 
+    /// Tells the workers which items work only together. The id of the job is the end of `path`.
+    void registerGangs(const std::string &path, const batch_job &job)
+    {
+        unit_id unit;
+        unit.job = job_id(path.substr(path.rfind('/') + 1));
+        for (; unit.occurrence < job.occurrences(); ++unit.occurrence) {
+            for (unit.step = 0; unit.step < job.steps.size(); ++unit.step) {
+                if (job.steps[unit.step].gang)
+                    history.gangSizes[item_history::gangNameOf(unit)] = job.steps[unit.step].count;
+            }
+        }
+    }
+
     void endAndRestart(const std::string &name, agent_process *ended)
     {
         *ended->alive = false;
