--- a/src/batch/log_follower.cpp
+++ b/src/batch/log_follower.cpp
@@ -17,6 +17,12 @@
 /// Pause after a read that the store answered at once without a record.
 constexpr absl::Duration EmptyTopicPause = absl::Milliseconds(150);
 
+/// The same call may succeed later.
+bool isUnanswered(store_outcome outcome)
+{
+    return outcome == store_outcome::Unknown || outcome == store_outcome::Refused;
+}
+
 } // namespace
 
 log_follower::log_follower(follower_options options, store_port *store, loop_hooks hooks)
@@ -76,7 +82,9 @@
     m_inFlight = false;
     if (answer.outcome != store_outcome::Ok) {
         m_useFreshConnection = answer.outcome == store_outcome::Unknown;
-        resetLoad();
+        // The pages so far can be kept, as the log since the first one is merged into them.
+        if (!isUnanswered(answer.outcome))
+            resetLoad();
         retryLater();
         return;
     }
@@ -123,9 +131,7 @@
     if (answer.outcome != store_outcome::Ok || answer.records.empty()) {
         m_useFreshConnection = answer.outcome == store_outcome::Unknown;
         const bool expired = answer.outcome == store_outcome::Expired;
-        const bool unanswered
-            = answer.outcome == store_outcome::Unknown || answer.outcome == store_outcome::Refused;
-        if (!unanswered)
+        if (!isUnanswered(answer.outcome))
             resetLoad();
         if (expired)
             m_retryAt = m_hooks.now() + FirstRetryDelay;
--- a/tests/batch_load_test.cpp
+++ b/tests/batch_load_test.cpp
@@ -197,6 +197,38 @@
     EXPECT_EQ(topic.loads, 1U);
 }
 
+// Guards against a load that never ends on a large site, as it began with the first of many pages
+// again whenever one got no answer.
+TEST(batch_load_test, loadGoesOnAfterAPageWithoutAnswer)
+{
+    virtual_clock clock;
+    fake_store store(&clock);
+    store.recordsPerPage = 1;
+    constexpr std::size_t Keys = 12;
+    for (std::size_t i = 0; i < Keys; ++i)
+        store.put(Topic, absl::StrCat(i), "value");
+    store_port port = store.portOf("reader", std::make_shared<bool>(true));
+    std::size_t pages = 0;
+    port.newest = [&pages, &clock, newest = port.newest](
+                      newest_request request, const std::function<void(newest_answer)> &done) {
+        if (++pages % 4 == 0)
+            clock.at(request.deadline, [done] { done({}); });
+        else
+            newest(std::move(request), done);
+    };
+    log_follower follower({Topic}, &port,
+                          {[&clock] { return clock.now(); }, [&clock] { return clock.now(); },
+                           [&clock] { return clock.random(); }});
+    std::vector<stored_record> loaded;
+    follower.onLoaded = [&loaded](const std::vector<stored_record> &records) { loaded = records; };
+    follower.onRecords = [](const std::vector<stored_record> &) {};
+    for (int i = 0; i < 2'000 && !follower.isLoaded(); ++i) {
+        follower.tick();
+        clock.runFor(absl::Milliseconds(10));
+    }
+    EXPECT_EQ(loaded.size(), Keys);
+}
+
 // Guards against a second long read beside the first one, which costs calls: entries and agents
 // tick the follower while they take over its load.
 TEST(batch_load_test, oneReadIsInFlightAfterTheLoad)
