A call whose repetition is refused does not count as never sent

What callers saw: two runs of one item are possible, or a worker that is taken for ended: an agent records a start as not started although the worker has read it.

Cause: curl repeats a request by itself when a kept connection is closed without an answer. If the new connection is refused, the reply said `refused`, from which the agent concludes that nothing was done. The first copy may have been carried out.

Evidence: loop_test.callWhoseRepetitionIsRefusedIsNotUnsent failed: the server reads the request, closes listener and connection (with and without a reset), and `refused` was true. `unsent` was right already.

Change: a call is refused only if it was never sent. The agent then treats such a start as unanswered: it raises its token and looks.

--- a/include/hyssoppond/loop/http_client_base.h
+++ b/include/hyssoppond/loop/http_client_base.h
@@ -30,7 +30,8 @@
 {
     int status = 0;       ///< 0: no complete answer
     bool unsent = false;  ///< no connection was made, so the server has not seen the request
-    bool refused = false; ///< the server's machine refused the connection: nobody listens there
+    bool refused = false; ///< unsent, as the server's machine refused the connection: nobody
+                          ///< listens there
     std::string body;
     std::string problem; ///< why there is no answer
 };
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -206,7 +206,10 @@
         current->reply.unsent = preTransferTime == 0;
         long systemError = 0;
         curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &systemError);
-        current->reply.refused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
+        // Curl repeats a request whose kept connection was closed without an answer. That one may
+        // have been read, also if the repetition was refused.
+        current->reply.refused
+            = current->reply.unsent && code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
         current->reply.problem = curl_easy_strerror(code);
     }
     curl_multi_remove_handle(m_multi, easy);
--- a/tests/loop_test.cpp
+++ b/tests/loop_test.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
 #include <unistd.h>
@@ -198,12 +199,66 @@
     m_loop.run();
     EXPECT_EQ(refusedReply.status, 0);
     EXPECT_TRUE(refusedReply.unsent);
+    EXPECT_TRUE(refusedReply.refused);
     EXPECT_EQ(silentReply.status, 0);
     EXPECT_FALSE(silentReply.unsent);
     // Destroying a server while a call is unanswered must not abort the process (hunt-d6b2-39).
     server.reset();
 }
 
+// Guards against a request that is taken for unsent although the server has read it: the server
+// closes the kept connection without an answer, curl tries again, and the new connection is
+// refused.
+TEST_F(loop_test, callWhoseRepetitionIsRefusedIsNotUnsent)
+{
+    for (const bool reset : {false, true}) {
+        const int listener = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr *>(&address), size), 0);
+        ASSERT_EQ(listen(listener, 1), 0);
+        getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
+        m_options.port = ntohs(address.sin_port);
+        int requests = 0;
+        m_loop.watch(listener, EPOLLIN, [&](std::uint32_t) {
+            const int connection = accept(listener, nullptr, nullptr);
+            m_loop.watch(connection, EPOLLIN, [&, connection](std::uint32_t) {
+                char data[1'000];
+                if (read(connection, data, sizeof data) <= 0)
+                    return;
+                if (++requests == 1) {
+                    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                    EXPECT_EQ(write(connection, answer.data(), answer.size()),
+                              static_cast<ssize_t>(answer.size()));
+                    return;
+                }
+                m_loop.unwatch(listener);
+                close(listener);
+                m_loop.unwatch(connection);
+                const linger atOnce {1, 0};
+                if (reset)
+                    setsockopt(connection, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+                close(connection);
+            });
+        });
+        http_client client(&m_loop);
+        http_reply reply;
+        client.send(makeCall("first"), [&](const http_reply &) {
+            client.send(makeCall("second"), [&](http_reply answer) {
+                reply = std::move(answer);
+                m_loop.stop();
+            });
+        });
+        m_loop.run();
+        EXPECT_EQ(requests, 2);
+        EXPECT_EQ(reply.status, 0);
+        EXPECT_FALSE(reply.unsent) << reply.problem;
+        EXPECT_FALSE(reply.refused) << reply.problem;
+    }
+}
+
 // Guards against a call that holds up its caller after a suspension of the machine, because curl's
 // clock did not count that time.
 TEST_F(loop_test, callEndsWhenTheSuspensionInWhichItWasDueHasEnded)
