A row of a worker's lists with an odd name or an odd end counts as unread

What callers saw: two runs of one item, or an item that is run again after it was done, are possible.

Cause: the decoder left out a row whose item name it could not parse, without marking the lists as incomplete. The run was then in neither list, so the agent recorded it as lapsed while it ran, or acknowledged its end unread. A name whose job is not 16 hexadecimal digits passed for another run. An end of an unknown kind was taken for `failed`, and acknowledged, although it may have been `done`.

--- a/tests/odd_report_test.cpp
+++ b/tests/odd_report_test.cpp
@@ -157,7 +157,9 @@
     for (const std::string &odd : std::vector<std::string> {
              std::string("7"), std::string("[]"), "[" + item + R"(,"x","",1])", "[7,7,7,7,7]",
              "[" + item + R"(,-1,"",1])", "[" + item + R"(,4294967297,"",1])",
-             "[" + item + R"(,0.5,"",1])", "[" + item + R"(,1e300,"",1])"}) {
+             "[" + item + R"(,0.5,"",1])", "[" + item + R"(,1e300,"",1])",
+             R"(["5c0e7a21d94b36f8.0.1",2,"",1])", R"(["?c0e7a21d94b36f8.0.1.17",2,"",1])",
+             R"(["5c0e7a21d94b36f8.0.1.+7",2,"",1])"}) {
         const auto answer = with("," + odd, "");
         ASSERT_TRUE(answer.has_value()) << odd;
         EXPECT_FALSE(answer->complete) << odd;
@@ -167,7 +169,9 @@
     for (const std::string &odd : std::vector<std::string> {
              std::string("7"), std::string("[]"), "[-1," + item + R"(,1,"done",""])",
              "[18446744073709551615," + item + R"(,1,"done",""])",
-             "[59," + item + R"(,-1,"done",""])", "[59," + item + R"(,1,7,""])"}) {
+             "[59," + item + R"(,-1,"done",""])", "[59," + item + R"(,1,7,""])",
+             "[59," + item + R"(,1,"d?ne",""])", R"([59,"",1,"done",""])",
+             R"([59,"5c0e7a21d94b36f8.0.1.17.3",1,"done",""])"}) {
         const auto answer = with("", "," + odd);
         ASSERT_TRUE(answer.has_value()) << odd;
         EXPECT_FALSE(answer->complete) << odd;
