A run whose end the worker has not listed yet is not taken for vanished

What callers saw: an item that is run again after it was done (TWICE), where more than 500 ends of a worker wait for their acknowledgement.

Cause: a worker lists at most 500 ends at a time. A run that has ended behind them is in neither list, and the agent recorded it as lapsed.

--- a/include/hyssoppond/batch/item_worker_port.h
+++ b/include/hyssoppond/batch/item_worker_port.h
@@ -94,7 +94,8 @@
     std::optional<unix_ms> workerStartMs; ///< of the worker incarnation that answered
     std::vector<running_item> running;
     std::vector<ended_item> ended;
-    bool complete = true; ///< false: an entry of the lists could not be read and is left out
+    bool complete = true;  ///< false: an entry of the lists could not be read and is left out
+    bool moreEnds = false; ///< the worker may have left out ends after those of the list
 };
 
 /// The worker of an agent. Completions run on the caller's thread, once per call. The unit of a run
--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -76,6 +76,7 @@
     absl::Duration wallSkew;                    ///< error of its time of day at its next restart
     std::size_t calls = 0;                      ///< orders and polls, also those lost on the way
     std::int64_t longestLeaseMs = 6'000;        ///< limit of a lease, on the worker's clock
+    std::size_t listedEnds = 500;               ///< most ends that it lists at a time, oldest first
     std::size_t running() const { return m_runs.size(); }
 
 private:
--- a/src/batch/batch_agent_poll.cpp
+++ b/src/batch/batch_agent_poll.cpp
@@ -195,7 +195,7 @@
         m_handledEnd = std::max(m_handledEnd, newest);
     std::vector<item_run> vanished;
     for (auto &[id, run] : m_runs) {
-        if (listed.contains(id) || !isCurrent(run) || !answer.complete)
+        if (listed.contains(id) || !isCurrent(run) || !answer.complete || answer.moreEnds)
             continue;
         if (run.state == phase::Running && run.progressAt < sentAt)
             vanished.push_back(id);
--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -236,6 +236,9 @@
         answer.running.push_back({asListed(id), "", static_cast<int>(100 * share)});
     }
     answer.ended = m_ended;
+    if (answer.ended.size() > listedEnds)
+        answer.ended.resize(listedEnds);
+    answer.moreEnds = answer.ended.size() == listedEnds;
     if (faults.oddEntries) {
         answer.complete = answer.running.empty() && answer.ended.empty();
         if (!answer.running.empty())
--- a/tests/batch_end_proof_test.cpp
+++ b/tests/batch_end_proof_test.cpp
@@ -106,5 +106,52 @@
     EXPECT_EQ(status(), job_status::Completed) << decisions();
 }
 
+// Guards against runs that are taken for lapsed, and run again after they were done, because a
+// worker lists only some of its ends at a time.
+TEST(batch_listed_ends_test, runWhoseEndIsNotListedYetHasNotVanished)
+{
+    batch_site site(1, 1, 1);
+    site.clock.runFor(StartTime);
+    site.workers.at("agent-0")->listedEnds = 2;
+    const std::string id = batch_site::idOf(1);
+    site.submit("entry-0", id, "normal", batch_site::stepOf(5, 1, false));
+    site.clock.runFor(absl::Seconds(20));
+    EXPECT_THAT(site.history.breaches, IsEmpty()) << site.decisionsAbout(id);
+    EXPECT_EQ(site.history.starts, 5U) << site.decisionsAbout(id);
+    EXPECT_EQ(site.history.done, 5U) << site.decisionsAbout(id);
+}
+
+// Guards against two runs of an item whose worker lists entries that cannot be read for long, while
+// its agent is replaced: the agent knows nothing of the run and is given up, and the run must have
+// ended by then.
+TEST(batch_odd_lists_test, agentThatCannotReadTheListsForLongKeepsTheLeaseRule)
+{
+    for (const bool isReplaced : {false, true}) {
+        batch_site site(1, 2, 1);
+        site.clock.runFor(StartTime);
+        for (auto &[name, worker] : site.workers)
+            worker->itemTime = absl::Seconds(40);
+        const std::string id = batch_site::idOf(1);
+        site.submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+        site.clock.runFor(absl::Seconds(1));
+        for (auto &[name, worker] : site.workers) {
+            if (worker->running() == 0)
+                continue;
+            worker->faults.oddEntries = true;
+            if (isReplaced) {
+                site.kill(name);
+                site.startAgent(name);
+            }
+        }
+        site.clock.runFor(absl::Seconds(100));
+        EXPECT_THAT(site.history.breaches, IsEmpty()) << site.decisionsAbout(id);
+        for (auto &[name, worker] : site.workers)
+            worker->faults.oddEntries = false;
+        site.clock.runFor(absl::Seconds(50));
+        EXPECT_THAT(site.history.breaches, IsEmpty()) << site.decisionsAbout(id);
+        EXPECT_EQ(site.history.done, 1U) << site.decisionsAbout(id);
+    }
+}
+
 } // namespace
 } // namespace hyssoppond::batch
--- a/tests/odd_report_test.cpp
+++ b/tests/odd_report_test.cpp
@@ -138,6 +138,19 @@
         EXPECT_FALSE(isAccepted(reportWith("born", born))) << born;
 }
 
+// Guards against a run that is taken for vanished because its end is not among the 500 that a
+// worker lists at a time.
+TEST(odd_report_test, fullListOfEndsMayLackFurtherEnds)
+{
+    std::string text = R"({"clockMs":5,"ended":[)";
+    for (int i = 1; i <= 500; ++i) {
+        EXPECT_FALSE(decodePollAnswer(text + "]}")->moreEnds) << i;
+        text += (i == 1 ? "[" : ",[") + std::to_string(i)
+            + R"(,"5c0e7a21d94b36f8.0.1.17",1,"stopped",""])";
+    }
+    EXPECT_TRUE(decodePollAnswer(text + "]}")->moreEnds);
+}
+
 // Guards against an agent that sees none of its runs, or takes one for another, because of one odd
 // entry in the lists of the worker.
 TEST(odd_report_test, oddEntriesHideNoOtherRuns)
