The clock of another worker incarnation does not count for leases

What callers saw: two runs of one item at the same time.

Cause: every answer of the worker set the clock by which leases are computed, also an answer of an incarnation before the present one that arrived after the restart was known, and a 421 of another lifetime. The new clock starts anew, so a lease by the old one lies far ahead: a start is granted the longest lease (6 s) instead of 2.7 s, and if it is carried out 12 s late it counts from then. The wait for a lost agent (12.5 s after its eviction) does not cover that.

Evidence: batch_clock_incarnation_test.lateAnswerOfAnEarlierIncarnationTellsNoClock failed: the start of item 2 went out at 60.850 s with "lease until 62856 on its clock, which showed 60030", the present clock being below 900 ms; its agent was killed, the run was given away at 77.324 s and ran twice, "on worker-0 and worker-1".

Change: an answer sets the clock only if it belongs to an order for the present incarnation and is not a 421.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -138,7 +138,8 @@
     // Runs
     void startDue();
     void start(const item_run &id);
-    void onStarted(const item_run &id, std::uint64_t sentToken, const order_answer &answer);
+    void onStarted(const item_run &id, std::uint64_t sentToken, std::uint64_t workerIncarnation,
+                   const order_answer &answer);
     void stopDue();
     void stop(const item_run &id);
     void report(std::vector<run_ended> ends, std::uint64_t lastEnd);
@@ -154,7 +155,10 @@
     void onProbe(const worker_description &candidate, const poll_answer &answer);
     void onPoll(const poll_answer &answer, std::uint64_t sentToken, std::uint64_t workerIncarnation,
                 absl::Time sentAt);
-    void updateWorkerClock(const std::optional<std::int64_t> &clockMs);
+    /// Takes the clock from an answer to an order for `workerIncarnation`. That of another
+    /// incarnation tells nothing about the present one.
+    void updateWorkerClock(const std::optional<std::int64_t> &clockMs, order_outcome outcome,
+                           std::uint64_t workerIncarnation);
     /// End of the longest lease that is allowed now, in ms on the worker's clock; none if no lease
     /// is allowed.
     /// A lease has at most `longestMs`.
--- a/src/batch/batch_agent_lease.cpp
+++ b/src/batch/batch_agent_lease.cpp
@@ -52,9 +52,11 @@
     supersedeOrders();
 }
 
-void batch_agent::updateWorkerClock(const std::optional<std::int64_t> &clockMs)
+void batch_agent::updateWorkerClock(const std::optional<std::int64_t> &clockMs,
+                                    order_outcome outcome, std::uint64_t workerIncarnation)
 {
-    if (!clockMs)
+    if (!clockMs || outcome == order_outcome::WorkerRestarted
+        || workerIncarnation != m_workerIncarnation)
         return;
     m_workerClockMs = clockMs;
     m_workerClockReadAt = m_hooks.now();
--- a/src/batch/batch_agent_poll.cpp
+++ b/src/batch/batch_agent_poll.cpp
@@ -102,7 +102,7 @@
                          std::uint64_t workerIncarnation, absl::Time sentAt)
 {
     const absl::Time now = m_hooks.now();
-    updateWorkerClock(answer.workerClockMs);
+    updateWorkerClock(answer.workerClockMs, answer.outcome, workerIncarnation);
     if (m_superseded)
         return;
     m_pollAt = now;
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -122,14 +122,16 @@
     order.worker = m_description->worker;
     order.deadline = m_hooks.now() + OrderTimeout;
     m_worker->start(std::move(order),
-                    [this, id, sentToken = currentToken()](const order_answer &answer) {
-                        onStarted(id, sentToken, answer);
+                    [this, id, sentToken = currentToken(),
+                     workerIncarnation = m_workerIncarnation](const order_answer &answer) {
+                        onStarted(id, sentToken, workerIncarnation, answer);
                     });
 }
 
-void batch_agent::onStarted(const item_run &id, std::uint64_t sentToken, const order_answer &answer)
+void batch_agent::onStarted(const item_run &id, std::uint64_t sentToken,
+                            std::uint64_t workerIncarnation, const order_answer &answer)
 {
-    updateWorkerClock(answer.workerClockMs);
+    updateWorkerClock(answer.workerClockMs, answer.outcome, workerIncarnation);
     if (m_superseded)
         return;
     supersedeIfUnanswered(answer.outcome, sentToken, true);
@@ -201,8 +203,9 @@
         found->second.stopSent = true;
     logDecision("stop", nameOf(id), absl::StrCat("token ", currentToken()));
     m_worker->stop({id, currentToken(), m_description->worker, m_hooks.now() + OrderTimeout},
-                   [this, id, sentToken = currentToken()](const order_answer &answer) {
-                       updateWorkerClock(answer.workerClockMs);
+                   [this, id, sentToken = currentToken(),
+                    workerIncarnation = m_workerIncarnation](const order_answer &answer) {
+                       updateWorkerClock(answer.workerClockMs, answer.outcome, workerIncarnation);
                        if (answer.outcome == order_outcome::Done)
                            return; // the worker will list its end
                        logDecision("stop failed", nameOf(id), "trying again after a pause");
--- a/tests/batch_end_proof_test.cpp
+++ b/tests/batch_end_proof_test.cpp
@@ -2,6 +2,8 @@
 /// that it guards against.
 #include "batch_site_base.h"
 
+#include "hyssoppond/batch/lease_rule_func.h"
+
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
@@ -106,6 +108,74 @@
     EXPECT_EQ(status(), job_status::Completed) << decisions();
 }
 
+/// A site of two workers whose clocks show a minute. All work goes to the worker of Agent until
+/// openOtherWorker().
+class batch_clock_incarnation_test : public testing::Test
+{
+protected:
+    static constexpr const char *Agent = "agent-0";
+    static constexpr const char *OtherAgent = "agent-1";
+
+    /// An order may be carried out so much later: a little less than LongestOrderDelay.
+    static constexpr absl::Duration Late = absl::Milliseconds(11'900);
+
+    batch_clock_incarnation_test()
+        : m_site(1, 2, 1)
+    {
+        m_site.clock.runFor(StartTime);
+        m_site.workers.at(OtherAgent)->setDraining(0);
+        for (auto &[name, worker] : m_site.workers)
+            worker->itemTime = absl::Seconds(30);
+        // Heartbeats of the worker come every 1.5 s.
+        m_site.clock.runFor(absl::Milliseconds(55'010));
+    }
+
+    fake_item_worker &worker() { return *m_site.workers.at(Agent); }
+
+    /// Lets the worker carry out the next orders late, waits for the start of the item `id`, and
+    /// ends the agent for good.
+    void loseAgentAfterALateStart(const std::string &id)
+    {
+        worker().faults.executeLate = 1.0;
+        worker().faults.lateBy = Late;
+        m_site.submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+        m_site.clock.runFor(absl::Milliseconds(150));
+        m_site.kill(Agent);
+        m_site.workers.at(OtherAgent)->restart();
+        m_site.clock.runFor(absl::Seconds(60));
+    }
+
+    batch_site m_site;
+    std::string m_id = batch_site::idOf(1);
+};
+
+// Guards against two runs of one item: after a restart of the worker, an answer of the incarnation
+// before arrives, and the lease of a start is computed with its clock. Carried out late, the start
+// would last longer than the decider waits for a lost agent.
+TEST_F(batch_clock_incarnation_test, lateAnswerOfAnEarlierIncarnationTellsNoClock)
+{
+    item_worker_port &port = m_site.agents.at(Agent)->worker;
+    const auto send = port.start;
+    port.start = [this, send](const start_order &order, std::function<void(order_answer)> done) {
+        send(order, [this, done = std::move(done)](const order_answer &answer) {
+            m_site.clock.after(absl::Milliseconds(690), [done, answer] { done(answer); });
+        });
+    };
+    m_site.submit("entry-0", m_id, "normal", batch_site::stepOf(1, 1, false));
+    for (int i = 0; i < 1'000 && worker().running() == 0; ++i)
+        m_site.clock.runFor(absl::Milliseconds(1));
+    ASSERT_EQ(worker().running(), 1U) << m_site.decisionsAbout(m_id);
+    worker().restart();
+    worker().faults.notListening = true;
+    m_site.clock.runFor(absl::Milliseconds(500));
+    worker().faults.notListening = false;
+    port.start = send;
+    m_site.clock.runFor(absl::Milliseconds(300));
+    const std::string second = batch_site::idOf(2);
+    loseAgentAfterALateStart(second);
+    EXPECT_THAT(m_site.history.breaches, IsEmpty()) << m_site.decisionsAbout(second);
+}
+
 // Guards against runs that are taken for lapsed, and run again after they were done, because a
 // worker lists only some of its ends at a time.
 TEST(batch_listed_ends_test, runWhoseEndIsNotListedYetHasNotVanished)
