--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -223,7 +223,7 @@
         long systemError = 0;
         curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &systemError);
         current->reply.refused
-            = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED && nothingSent;
+            = current->reply.unsent && code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
         current->reply.problem = curl_easy_strerror(code);
     }
     curl_multi_remove_handle(m_multi, easy);
--- a/tests/odd_report_test.cpp
+++ b/tests/odd_report_test.cpp
@@ -138,6 +138,19 @@
         EXPECT_FALSE(isAccepted(reportWith("born", born))) << born;
 }
 
+// Guards against a run that is taken for vanished because its end is not among the 500 that a
+// worker lists at a time.
+TEST(odd_report_test, fullListOfEndsMayLackFurtherEnds)
+{
+    std::string text = R"({"clockMs":5,"ended":[)";
+    for (int i = 1; i <= 500; ++i) {
+        EXPECT_FALSE(decodePollAnswer(text + "]}")->moreEnds) << i;
+        text += (i == 1 ? "[" : ",[") + std::to_string(i)
+            + R"(,"5c0e7a21d94b36f8.0.1.17",1,"stopped",""])";
+    }
+    EXPECT_TRUE(decodePollAnswer(text + "]}")->moreEnds);
+}
+
 // Guards against an agent that sees none of its runs, or takes one for another, because of one odd
 // entry in the lists of the worker.
 TEST(odd_report_test, oddEntriesHideNoOtherRuns)
@@ -157,7 +170,9 @@
     for (const std::string &odd : std::vector<std::string> {
              std::string("7"), std::string("[]"), "[" + item + R"(,"x","",1])", "[7,7,7,7,7]",
              "[" + item + R"(,-1,"",1])", "[" + item + R"(,4294967297,"",1])",
-             "[" + item + R"(,0.5,"",1])", "[" + item + R"(,1e300,"",1])"}) {
+             "[" + item + R"(,0.5,"",1])", "[" + item + R"(,1e300,"",1])",
+             R"(["5c0e7a21d94b36f8.0.1",2,"",1])", R"(["?c0e7a21d94b36f8.0.1.17",2,"",1])",
+             R"(["5c0e7a21d94b36f8.0.1.+7",2,"",1])"}) {
         const auto answer = with("," + odd, "");
         ASSERT_TRUE(answer.has_value()) << odd;
         EXPECT_FALSE(answer->complete) << odd;
@@ -167,7 +182,9 @@
     for (const std::string &odd : std::vector<std::string> {
              std::string("7"), std::string("[]"), "[-1," + item + R"(,1,"done",""])",
              "[18446744073709551615," + item + R"(,1,"done",""])",
-             "[59," + item + R"(,-1,"done",""])", "[59," + item + R"(,1,7,""])"}) {
+             "[59," + item + R"(,-1,"done",""])", "[59," + item + R"(,1,7,""])",
+             "[59," + item + R"(,1,"d?ne",""])", R"([59,"",1,"done",""])",
+             R"([59,"5c0e7a21d94b36f8.0.1.17.3",1,"done",""])"}) {
         const auto answer = with("", "," + odd);
         ASSERT_TRUE(answer.has_value()) << odd;
         EXPECT_FALSE(answer->complete) << odd;
