--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -147,4 +147,8 @@
 /// Checks a submission. Errors: InvalidArgument, whose message names the remedy.
 result<void> checkJob(const batch_job &job);
 
+/// Checks a record of the journal that another writer may have left. Errors: InvalidArgument if no
+/// process of this system would have written it, and applying it would do harm.
+result<void> checkRecord(const batch_record &record);
+
 } // namespace hyssoppond::batch
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace hyssoppond::batch {
 
@@ -48,6 +49,10 @@
 constexpr std::uint64_t MaxUnits = 50'000;
 constexpr std::size_t MaxLabelBytes = 256;
 
+/// Bounds of the amounts and times of a job, within which no sum or product with them overflows.
+constexpr std::int64_t MaxAmount = 1'000'000'000'000;
+constexpr unix_ms MaxUnixMs = std::numeric_limits<unix_ms>::max() / 4;
+
 } // namespace
 
 result<void> checkJob(const batch_job &job)
@@ -62,6 +67,10 @@
         return invalid("the job repeats more than 1000 times; submit several jobs");
     if (job.repeats > 0 && job.intervalMs < 0)
         return invalid("the interval between two occurrences is negative; set 0 ms or more");
+    if (job.firstRunMs < 0 || job.firstRunMs > MaxUnixMs || job.intervalMs > MaxAmount)
+        return invalid(
+            "a time of the job is out of range; set 0 ms or more since 1970, and intervals of "
+            "up to 10^12 ms");
     std::uint64_t units = 0;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
         const batch_step &step = job.steps[i];
@@ -71,6 +80,10 @@
         if (step.item.cpuMilli < 0 || step.item.memoryMb < 0 || step.item.accelerators < 0)
             return invalid(absl::StrCat(
                 "step ", i, " asks for a negative amount of a resource; set 0 or more"));
+        if (step.item.cpuMilli > MaxAmount || step.item.memoryMb > MaxAmount
+            || step.item.accelerators > MaxAmount)
+            return invalid(
+                absl::StrCat("step ", i, " asks for more of a resource than exists; set less"));
         if (step.requiredLabel.size() > MaxLabelBytes || step.dataRack.size() > MaxLabelBytes)
             return invalid(
                 absl::StrCat("a label of step ", i, " is longer than 256 bytes; shorten it"));
@@ -90,6 +103,16 @@
     return {};
 }
 
+result<void> checkRecord(const batch_record &record)
+{
+    const auto *submitted = std::get_if<job_submitted>(&record);
+    if (submitted == nullptr)
+        return {};
+    if (submitted->job.submittedMs < 0 || submitted->job.submittedMs > MaxUnixMs)
+        return fail(reason::InvalidArgument, "the time of the submission is out of range");
+    return checkJob(submitted->job);
+}
+
 batch_entry::batch_entry(batch_entry_options options, store_port *store, loop_hooks hooks)
     : m_options(std::move(options))
     , m_hooks(std::move(hooks))
@@ -172,6 +195,10 @@
                 logDecision("record ignored", storedRecord.key, record.error().message);
                 continue;
             }
+            if (const result<void> checked = checkRecord(*record); !checked) {
+                logDecision("record ignored", storedRecord.key, checked.error().message);
+                continue;
+            }
             m_state.apply(*record, storedRecord.offset);
             if (const auto *eviction = std::get_if<agent_evicted>(&*record))
                 m_decider.onEviction(*eviction);
