Entries ignore a grant whose epoch leaves none for the next decider

After a record of another writer that grants the largest epoch, no entry decided any more, also after a restart: the next epoch overflowed to a small one, which the store refuses. Submitted jobs stayed queued for ever.

Epochs beyond a quarter of the range are ignored now and logged with the reason. Epochs count grants with 10 random bits, so none of this system gets there.

batch_odd_record_test.grantWithTheLargestEpochEndsNoDecider failed before: both jobs were still queued after 5 s.

--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -53,6 +53,9 @@
 constexpr std::int64_t MaxAmount = 1'000'000'000'000;
 constexpr unix_ms MaxUnixMs = std::numeric_limits<unix_ms>::max() / 4;
 
+/// Largest epoch of a decider that is accepted. There must be later ones for the next deciders.
+constexpr epoch_number MaxEpoch = std::numeric_limits<epoch_number>::max() / 4;
+
 } // namespace
 
 result<void> checkJob(const batch_job &job)
@@ -105,12 +108,15 @@
 
 result<void> checkRecord(const batch_record &record)
 {
-    const auto *submitted = std::get_if<job_submitted>(&record);
-    if (submitted == nullptr)
-        return {};
-    if (submitted->job.submittedMs < 0 || submitted->job.submittedMs > MaxUnixMs)
-        return fail(reason::InvalidArgument, "the time of the submission is out of range");
-    return checkJob(submitted->job);
+    if (const auto *submitted = std::get_if<job_submitted>(&record)) {
+        if (submitted->job.submittedMs < 0 || submitted->job.submittedMs > MaxUnixMs)
+            return fail(reason::InvalidArgument, "the time of the submission is out of range");
+        return checkJob(submitted->job);
+    }
+    const auto *granted = std::get_if<decider_granted>(&record);
+    if (granted != nullptr && granted->epoch > MaxEpoch)
+        return fail(reason::InvalidArgument, "the epoch of the decider is out of range");
+    return {};
 }
 
 batch_entry::batch_entry(batch_entry_options options, store_port *store, loop_hooks hooks)
--- a/tests/batch_odd_record_test.cpp
+++ b/tests/batch_odd_record_test.cpp
@@ -102,5 +102,15 @@
     }
 }
 
+// Guards against entries of which none decides any more: an epoch after the largest one does not
+// exist.
+TEST_F(batch_odd_record_test, grantWithTheLargestEpochEndsNoDecider)
+{
+    put(decider_granted {process_id("odd"), std::numeric_limits<epoch_number>::max()});
+    EXPECT_EQ(runJob("entry-0", batch_site::idOf(1)), job_status::Completed);
+    restartEntries();
+    EXPECT_EQ(runJob("entry-1", batch_site::idOf(2)), job_status::Completed);
+}
+
 } // namespace
 } // namespace hyssoppond::batch
