Entries ignore orders that could never end

An order of another writer without members kept its unit active for ever, as no member can end, and its job stayed running. An order with the largest run number left no number for the next run of its unit.

Both are ignored now and logged with the reason.

batch_odd_record_test.orderThatCannotEndIsIgnored failed before: the job with the order without members was still running after 5 s.

--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -56,6 +56,10 @@
 /// Largest epoch of a decider that is accepted. There must be later ones for the next deciders.
 constexpr epoch_number MaxEpoch = std::numeric_limits<epoch_number>::max() / 4;
 
+/// Largest number of a run that is accepted. There must be later ones for the next runs of its
+/// unit.
+constexpr std::uint32_t MaxRun = std::numeric_limits<std::uint32_t>::max() / 4;
+
 } // namespace
 
 result<void> checkJob(const batch_job &job)
@@ -113,6 +117,13 @@
             return fail(reason::InvalidArgument, "the time of the submission is out of range");
         return checkJob(submitted->job);
     }
+    if (const auto *ordered = std::get_if<run_ordered>(&record)) {
+        if (ordered->run > MaxRun)
+            return fail(reason::InvalidArgument, "the number of the run is out of range");
+        if (ordered->members.empty())
+            return fail(reason::InvalidArgument, "the run has no members");
+        return {};
+    }
     const auto *granted = std::get_if<decider_granted>(&record);
     if (granted != nullptr && granted->epoch > MaxEpoch)
         return fail(reason::InvalidArgument, "the epoch of the decider is out of range");
--- a/tests/batch_odd_record_test.cpp
+++ b/tests/batch_odd_record_test.cpp
@@ -112,5 +112,27 @@
     EXPECT_EQ(runJob("entry-1", batch_site::idOf(2)), job_status::Completed);
 }
 
+// Guards against a unit that never runs: an order without members has no end, and a run after the
+// largest number does not exist.
+TEST_F(batch_odd_record_test, orderThatCannotEndIsIgnored)
+{
+    const std::string id = batch_site::idOf(1);
+    const std::string otherId = batch_site::idOf(2);
+    put(job_submitted {usualJob(id)});
+    put(job_submitted {usualJob(otherId)});
+    run_ordered ordered;
+    ordered.unit = {job_id(id), 0, 0, 0};
+    ordered.run = 1;
+    put(ordered);
+    ordered.unit.job = job_id(otherId);
+    ordered.run = std::numeric_limits<std::uint32_t>::max();
+    ordered.members = {{0, process_id("agent-0"), 1}};
+    put(ordered);
+    m_site.clock.runFor(JobTime);
+    EXPECT_EQ(statusOf("entry-0", id), job_status::Completed) << m_site.decisionsAbout(id);
+    EXPECT_EQ(statusOf("entry-0", otherId), job_status::Completed)
+        << m_site.decisionsAbout(otherId);
+}
+
 } // namespace
 } // namespace hyssoppond::batch
