A wake-up message about records that do not exist is forgotten

This went on until the process ended, and cost each long read a second call to the store.

A read that was sent after the message, and that the store answers with an earlier end, shows that the message was wrong, as the store's answers are linearizable. The expected end is then taken back.

--- a/include/hyssoppond/batch/store_relay_base.h
+++ b/include/hyssoppond/batch/store_relay_base.h
@@ -54,9 +54,10 @@
         std::function<void(read_answer)> onRead;       ///< set for a read
         bool directPending = false;
         bool relayPending = false;
-        bool mayHaveRun = false; ///< a try got no answer
-        unsigned peerTries = 0;  ///< number of peers that were asked
-        absl::Time relayAt;      ///< next try by a peer
+        bool mayHaveRun = false;       ///< a try got no answer
+        unsigned peerTries = 0;        ///< number of peers that were asked
+        absl::Time relayAt;            ///< next try by a peer
+        std::uint64_t expectedEnd = 0; ///< of the topic of a read, when the read was sent
         absl::Time deadline;
         std::size_t firstPeer = 0;
     };
@@ -70,6 +71,9 @@
     void settle(std::uint64_t id);
     void finish(std::uint64_t id, append_answer appended, read_answer records);
     void setDirectUnreachable(bool unreachable);
+    /// A read that was sent when `topic` was said to reach to `expectedEnd` found it shorter: the
+    /// message was wrong.
+    void forgetExpectation(const std::string &topic, std::uint64_t expectedEnd, std::uint64_t end);
     void serve(const relayed_append &call);
     void serve(const relayed_read &call);
     void reply(const std::string &address, const peer_message &message) const;
--- a/src/batch/store_relay.cpp
+++ b/src/batch/store_relay.cpp
@@ -123,7 +123,9 @@
     if (m_directUnreachable && direct)
         m_probeAt = now + ProbeInterval;
     op.relayAt = m_directUnreachable ? now : now + op.read.wait + HedgeDelay;
-    if (op.onRead && op.read.from < m_expectedEnds[op.read.topic])
+    if (op.onRead)
+        op.expectedEnd = m_expectedEnds[op.read.topic];
+    if (op.read.from < op.expectedEnd)
         op.relayAt = std::min(op.relayAt, now + ExpectedRecordDelay);
     op.directPending = direct;
     op.firstPeer = static_cast<std::size_t>(m_hooks.random());
@@ -148,14 +150,18 @@
         });
         return;
     }
-    m_direct->read(op.read, [this, id](read_answer answer) {
-        if (isSettled(answer.outcome))
-            setDirectUnreachable(false);
-        if (isSettled(answer.outcome) && m_operations.contains(id))
-            finish(id, {}, std::move(answer));
-        else
-            onDirectOutcome(id, answer.outcome);
-    });
+    m_direct->read(
+        op.read,
+        [this, id, topic = op.read.topic, expectedEnd = op.expectedEnd](read_answer answer) {
+            if (isSettled(answer.outcome))
+                setDirectUnreachable(false);
+            if (answer.outcome == store_outcome::Ok && answer.end < expectedEnd)
+                forgetExpectation(topic, expectedEnd, answer.end);
+            if (isSettled(answer.outcome) && m_operations.contains(id))
+                finish(id, {}, std::move(answer));
+            else
+                onDirectOutcome(id, answer.outcome);
+        });
 }
 
 void store_relay::onDirectOutcome(std::uint64_t id, store_outcome outcome)
@@ -250,6 +256,13 @@
     }
 }
 
+void store_relay::forgetExpectation(const std::string &topic, std::uint64_t expectedEnd,
+                                    std::uint64_t end)
+{
+    if (m_expectedEnds[topic] == expectedEnd)
+        m_expectedEnds[topic] = end;
+}
+
 void store_relay::tick()
 {
     const absl::Time now = m_hooks.now();
--- a/tests/batch_odd_record_test.cpp
+++ b/tests/batch_odd_record_test.cpp
@@ -134,5 +134,24 @@
         << m_site.decisionsAbout(otherId);
 }
 
+// Guards against reads that all go through peers, as if the store did not answer, because one
+// message named records that do not exist.
+TEST_F(batch_odd_record_test, wakeUpForRecordsThatDoNotExistIsForgotten)
+{
+    for (auto &[name, entry] : m_site.entries) {
+        entry->relay->expectRecords(JournalTopic, std::numeric_limits<std::uint64_t>::max());
+        entry->node->onWake();
+    }
+    for (auto &[name, agent] : m_site.agents) {
+        agent->relay->expectRecords(JournalTopic, std::numeric_limits<std::uint64_t>::max());
+        agent->node->onWake();
+    }
+    m_site.clock.runFor(absl::Seconds(5));
+    const std::uint64_t calls = relayedCalls();
+    m_site.clock.runFor(absl::Seconds(60));
+    EXPECT_EQ(relayedCalls(), calls);
+    EXPECT_EQ(runJob("entry-0", batch_site::idOf(1)), job_status::Completed);
+}
+
 } // namespace
 } // namespace hyssoppond::batch
