Calls of peers are served for a second at most

A process sends the calls of peers to the store, 64 at a time. The time limit came from the message, and may be 49 days. 64 such messages of another writer, while the store did not answer, took all places, and the process refused the calls of its peers from then on.

A call is now served for a second at most, besides the wait of a read. Peers ask for 250 ms.

batch_store_test.callsOfPeersDoNotOccupyTheRelayForLong failed before: 10 s later the relayed read was still refused.

--- a/src/batch/store_relay.cpp
+++ b/src/batch/store_relay.cpp
@@ -29,6 +29,10 @@
 /// Calls of peers that are served at the same time; bounds memory.
 constexpr std::size_t MaxServedCalls = 64;
 
+/// Longest time for which a peer's call, without its wait, is served. Calls of this version ask for
+/// PeerAnswerTimeout.
+constexpr absl::Duration MaxServedTime = absl::Milliseconds(1000);
+
 /// Bytes of a reply besides its records, and of a record besides its key and value.
 constexpr std::size_t ReplyOverhead = 128;
 constexpr std::size_t RecordOverhead = 32;
@@ -343,7 +347,8 @@
     request.topic = call.topic;
     request.records = call.records;
     request.producer = call.producer;
-    request.deadline = m_hooks.now() + absl::Milliseconds(call.answerTimeoutMs);
+    request.deadline
+        = m_hooks.now() + std::min(absl::Milliseconds(call.answerTimeoutMs), MaxServedTime);
     ++m_serving;
     m_direct->append(std::move(request),
                      [this, to = call.replyTo, answer](const append_answer &storeAnswer) mutable {
@@ -365,7 +370,8 @@
     request.topic = call.topic;
     request.from = call.from;
     request.wait = std::min(absl::Milliseconds(call.waitMs), MaxRelayedWait);
-    request.deadline = m_hooks.now() + request.wait + absl::Milliseconds(call.answerTimeoutMs);
+    request.deadline = m_hooks.now() + request.wait
+        + std::min(absl::Milliseconds(call.answerTimeoutMs), MaxServedTime);
     ++m_serving;
     m_direct->read(std::move(request),
                    [this, to = call.replyTo, answer](read_answer storeAnswer) mutable {
--- a/tests/batch_store_test.cpp
+++ b/tests/batch_store_test.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace hyssoppond::batch {
 namespace {
 
@@ -115,5 +117,30 @@
     EXPECT_EQ(results, std::vector<write_result> {write_result::Written});
 }
 
+// Guards against a process that relays nothing any more: messages with a huge time limit occupied
+// all its places for calls of peers when the store did not answer.
+TEST_F(batch_store_test, callsOfPeersDoNotOccupyTheRelayForLong)
+{
+    store_port direct = m_store.portOf("peer", std::make_shared<bool>(true));
+    m_store.faults["peer"].silent = true;
+    store_relay peer("peer", &direct, m_hooks);
+    std::vector<peer_message> replies;
+    peer.send = [&](const std::string &, const std::string &message) {
+        replies.push_back(*decodePeerMessage(message));
+    };
+    constexpr std::uint32_t MaxMs = std::numeric_limits<std::uint32_t>::max();
+    for (std::uint64_t id = 0; id < 200; ++id) {
+        peer.receive(relayed_read {id, "odd", "keyed.t", 0, MaxMs, MaxMs});
+        peer.receive(relayed_append {id, "odd", "keyed.t", {}, {"odd", 1, 1}, MaxMs});
+    }
+    m_clock.runFor(absl::Seconds(10));
+    m_store.faults["peer"].silent = false;
+    replies.clear();
+    peer.receive(relayed_read {1'000, "own", "keyed.t", 0, 0, 250});
+    m_clock.runFor(absl::Seconds(1));
+    ASSERT_EQ(replies.size(), 1U);
+    EXPECT_EQ(std::get<relayed_read_reply>(replies.front()).answer.outcome, store_outcome::Ok);
+}
+
 } // namespace
 } // namespace hyssoppond::batch
