A record without a whole key does not stop the readers of its topic

A read that held a record of a keyed topic that is empty, or shorter than its key, counted as damaged as a whole. Its readers repeated it for ever and followed the topic no further.

odd_report_test.oddRecordHidesNoLaterRecordsOfATopic failed before: the read was not decoded.

--- a/tests/odd_report_test.cpp
+++ b/tests/odd_report_test.cpp
@@ -261,6 +261,24 @@
         EXPECT_FALSE(parseAddress(text).has_value()) << text;
 }
 
+// Guards against a process that follows a topic no further because one record of it has no key, or
+// a key that is longer than the record.
+TEST(odd_report_test, oddRecordHidesNoLaterRecordsOfATopic)
+{
+    const std::string header(16, '\0');
+    const std::string usual = encodeRecords("keyed.t", {{"key", "value", 0}});
+    for (const std::string &odd : {std::string("\0\0\0\0", 4), std::string("\0\0\0\1\xff", 5),
+                                   std::string("\0\0\0\3\3ab", 7)}) {
+        const auto read = decodeRecords("keyed.t", 40, header + odd + usual);
+        ASSERT_TRUE(read.has_value());
+        ASSERT_EQ(read->records.size(), 2U);
+        EXPECT_EQ(read->records[0].value, "");
+        EXPECT_EQ(read->records[1].key, "key");
+        EXPECT_EQ(read->records[1].value, "value");
+        EXPECT_EQ(read->records[1].offset, 41U);
+    }
+}
+
 // Guards against an agent that answers an odd report as if it had used it.
 TEST(odd_report_test, oddReportIsAnsweredWith400)
 {
