--- a/standins/platform/platform_standin.cpp
+++ b/standins/platform/platform_standin.cpp
@@ -42,7 +42,8 @@
 {
     http_response response;
     response.status = status;
-    response.body = body.dump();
+    // Keys of other writers may hold bytes that are not UTF-8.
+    response.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
     return response;
 }
 
