--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace hyssoppond::batch {
 
@@ -48,6 +49,17 @@
 constexpr std::uint64_t MaxUnits = 50'000;
 constexpr std::size_t MaxLabelBytes = 256;
 
+/// Bounds of the amounts and times of a job, within which no sum or product with them overflows.
+constexpr std::int64_t MaxAmount = 1'000'000'000'000;
+constexpr unix_ms MaxUnixMs = std::numeric_limits<unix_ms>::max() / 4;
+
+/// Largest epoch of a decider that is accepted. There must be later ones for the next deciders.
+constexpr epoch_number MaxEpoch = std::numeric_limits<epoch_number>::max() / 4;
+
+/// Largest number of a run that is accepted. There must be later ones for the next runs of its
+/// unit.
+constexpr std::uint32_t MaxRun = std::numeric_limits<std::uint32_t>::max() / 4;
+
 } // namespace
 
 result<void> checkJob(const batch_job &job)
@@ -62,6 +74,10 @@
         return invalid("the job repeats more than 1000 times; submit several jobs");
     if (job.repeats > 0 && job.intervalMs < 0)
         return invalid("the interval between two occurrences is negative; set 0 ms or more");
+    if (job.firstRunMs < 0 || job.firstRunMs > MaxUnixMs || job.intervalMs > MaxAmount)
+        return invalid(
+            "a time of the job is out of range; set 0 ms or more since 1970, and intervals of "
+            "up to 10^12 ms");
     std::uint64_t units = 0;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
         const batch_step &step = job.steps[i];
@@ -71,6 +87,10 @@
         if (step.item.cpuMilli < 0 || step.item.memoryMb < 0 || step.item.accelerators < 0)
             return invalid(absl::StrCat(
                 "step ", i, " asks for a negative amount of a resource; set 0 or more"));
+        if (step.item.cpuMilli > MaxAmount || step.item.memoryMb > MaxAmount
+            || step.item.accelerators > MaxAmount)
+            return invalid(
+                absl::StrCat("step ", i, " asks for more of a resource than exists; set less"));
         if (step.requiredLabel.size() > MaxLabelBytes || step.dataRack.size() > MaxLabelBytes)
             return invalid(
                 absl::StrCat("a label of step ", i, " is longer than 256 bytes; shorten it"));
@@ -90,6 +110,26 @@
     return {};
 }
 
+result<void> checkRecord(const batch_record &record)
+{
+    if (const auto *submitted = std::get_if<job_submitted>(&record)) {
+        if (submitted->job.submittedMs < 0 || submitted->job.submittedMs > MaxUnixMs)
+            return fail(reason::InvalidArgument, "the time of the submission is out of range");
+        return checkJob(submitted->job);
+    }
+    if (const auto *ordered = std::get_if<run_ordered>(&record)) {
+        if (ordered->run > MaxRun)
+            return fail(reason::InvalidArgument, "the number of the run is out of range");
+        if (ordered->members.empty())
+            return fail(reason::InvalidArgument, "the run has no members");
+        return {};
+    }
+    const auto *granted = std::get_if<decider_granted>(&record);
+    if (granted != nullptr && granted->epoch > MaxEpoch)
+        return fail(reason::InvalidArgument, "the epoch of the decider is out of range");
+    return {};
+}
+
 batch_entry::batch_entry(batch_entry_options options, store_port *store, loop_hooks hooks)
     : m_options(std::move(options))
     , m_hooks(std::move(hooks))
@@ -172,6 +212,10 @@
                 logDecision("record ignored", storedRecord.key, record.error().message);
                 continue;
             }
+            if (const result<void> checked = checkRecord(*record); !checked) {
+                logDecision("record ignored", storedRecord.key, checked.error().message);
+                continue;
+            }
             m_state.apply(*record, storedRecord.offset);
             if (const auto *eviction = std::get_if<agent_evicted>(&*record))
                 m_decider.onEviction(*eviction);
--- a/src/batch/store_relay.cpp
+++ b/src/batch/store_relay.cpp
@@ -29,6 +29,10 @@
 /// Calls of peers that are served at the same time; bounds memory.
 constexpr std::size_t MaxServedCalls = 64;
 
+/// Longest time for which a peer's call, without its wait, is served. Calls of this version ask for
+/// PeerAnswerTimeout.
+constexpr absl::Duration MaxServedTime = absl::Milliseconds(1000);
+
 /// Bytes of a reply besides its records, and of a record besides its key and value.
 constexpr std::size_t ReplyOverhead = 128;
 constexpr std::size_t RecordOverhead = 32;
@@ -123,7 +127,9 @@
     if (m_directUnreachable && direct)
         m_probeAt = now + ProbeInterval;
     op.relayAt = m_directUnreachable ? now : now + op.read.wait + HedgeDelay;
-    if (op.onRead && op.read.from < m_expectedEnds[op.read.topic])
+    if (op.onRead)
+        op.expectedEnd = m_expectedEnds[op.read.topic];
+    if (op.read.from < op.expectedEnd)
         op.relayAt = std::min(op.relayAt, now + ExpectedRecordDelay);
     op.directPending = direct;
     op.firstPeer = static_cast<std::size_t>(m_hooks.random());
@@ -148,14 +154,18 @@
         });
         return;
     }
-    m_direct->read(op.read, [this, id](read_answer answer) {
-        if (isSettled(answer.outcome))
-            setDirectUnreachable(false);
-        if (isSettled(answer.outcome) && m_operations.contains(id))
-            finish(id, {}, std::move(answer));
-        else
-            onDirectOutcome(id, answer.outcome);
-    });
+    m_direct->read(
+        op.read,
+        [this, id, topic = op.read.topic, expectedEnd = op.expectedEnd](read_answer answer) {
+            if (isSettled(answer.outcome))
+                setDirectUnreachable(false);
+            if (answer.outcome == store_outcome::Ok && answer.end < expectedEnd)
+                forgetExpectation(topic, expectedEnd, answer.end);
+            if (isSettled(answer.outcome) && m_operations.contains(id))
+                finish(id, {}, std::move(answer));
+            else
+                onDirectOutcome(id, answer.outcome);
+        });
 }
 
 void store_relay::onDirectOutcome(std::uint64_t id, store_outcome outcome)
@@ -250,6 +260,13 @@
     }
 }
 
+void store_relay::forgetExpectation(const std::string &topic, std::uint64_t expectedEnd,
+                                    std::uint64_t end)
+{
+    if (m_expectedEnds[topic] == expectedEnd)
+        m_expectedEnds[topic] = end;
+}
+
 void store_relay::tick()
 {
     const absl::Time now = m_hooks.now();
@@ -330,7 +347,8 @@
     request.topic = call.topic;
     request.records = call.records;
     request.producer = call.producer;
-    request.deadline = m_hooks.now() + absl::Milliseconds(call.answerTimeoutMs);
+    request.deadline
+        = m_hooks.now() + std::min(absl::Milliseconds(call.answerTimeoutMs), MaxServedTime);
     ++m_serving;
     m_direct->append(std::move(request),
                      [this, to = call.replyTo, answer](const append_answer &storeAnswer) mutable {
@@ -352,7 +370,8 @@
     request.topic = call.topic;
     request.from = call.from;
     request.wait = std::min(absl::Milliseconds(call.waitMs), MaxRelayedWait);
-    request.deadline = m_hooks.now() + request.wait + absl::Milliseconds(call.answerTimeoutMs);
+    request.deadline = m_hooks.now() + request.wait
+        + std::min(absl::Milliseconds(call.answerTimeoutMs), MaxServedTime);
     ++m_serving;
     m_direct->read(std::move(request),
                    [this, to = call.replyTo, answer](read_answer storeAnswer) mutable {
