No order carries a lease that could outlast the wait for a lost agent

What callers saw: two runs of one item at the same time are possible when an agent is lost for good (killed, or its machine frozen) while its worker lives on and carries out orders late. docs/platform.md named one case as open.

Cause: a lost agent cannot raise its fencing token any more, and its leases did not allow for the age of its last stored heartbeat nor for orders without an answer. Four sequences: a start 2 s after the last heartbeat; a late poll of 6 s that is carried out after a late start that was sent while it was on its way; the same, but carried out before the start, whose run takes over the lease that the worker then has; a series of late polls, each carried out before the lease of the one before it is over.

Change: the agent keeps the orders with leases that are neither answered nor void, and gives each new one only as much lease as ends by the last stored heartbeat + EvictAfter + 12 s (or the last read + 12 s) in the worst case. EvictAfter moves to lease_rule_func.h, where the inequality stands. Polls that wait for ends carry no lease any more, since a start could not be sent while one with a long lease is without an answer; a poll without a wait extends the lease before each. A start is not sent with less than 2 s; the heartbeat is sent early instead, at most every 0.5 s. The rule that no order carries a lease without a heartbeat since the first unanswered order is covered by the new one and gone.

runsAreStoppedOnceTheProofBehindTheirLeasesIsTooOld relied on late polls in a series after the cut with 6 s each, which the bound does not allow any more. It now delays the polls so that their leases last as long, and checks in addition that the agent stopped the runs itself ("run unleased").

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "hyssoppond/batch/batch_record_type.h"
+#include "hyssoppond/batch/granted_leases_base.h"
 #include "hyssoppond/batch/item_worker_port.h"
 #include "hyssoppond/batch/log_follower_base.h"
 #include "hyssoppond/batch/log_writer_base.h"
@@ -120,6 +121,8 @@
     void retire(const char *why);
     void announce();
     void sendHeartbeat();
+    /// Sends the next heartbeat as soon as it may be, as leases depend on the last stored one.
+    void hastenHeartbeat();
     /// Handles a new incarnation of the worker: nothing is ordered until its lists of runs were
     /// read.
     void beginWorkerIncarnation();
@@ -152,10 +155,11 @@
     void onPoll(const poll_answer &answer, std::uint64_t sentToken, std::uint64_t workerIncarnation,
                 absl::Time sentAt);
     void updateWorkerClock(const std::optional<std::int64_t> &clockMs);
-    /// End of the longest lease that is allowed now, in ms on the worker's clock; none if no lease
-    /// is allowed.
-    /// A lease has at most `longestMs`.
-    std::optional<std::int64_t> leaseUntilMs(std::int64_t longestMs) const;
+    /// Longest lease that an order may carry now, in ms on the worker's clock; 0 or less if it may
+    /// carry none.
+    std::int64_t longestLeaseMs(granted_leases::effect kind) const;
+    /// What the worker's clock shows at least. It must have been read before.
+    std::int64_t workerClockMs() const;
     /// Notes that an order grants a lease until `leaseEndMs` on the worker's clock.
     void noteGrant(std::int64_t leaseEndMs);
     /// When no order that got no answer can keep a run alive any more.
@@ -206,6 +210,7 @@
     std::uint64_t m_tokenStep = 0;
     bool m_evicted = false;
     absl::Time m_heartbeatAt = absl::InfinitePast();
+    absl::Time m_heartbeatSentAt = absl::InfinitePast();
     std::uint64_t m_heartbeats = 0;
 
     bool m_applyingLoad = false;
@@ -240,11 +245,10 @@
     absl::Time m_leaseProofAsOf = absl::InfinitePast();
     /// Until when the worker may carry out an order that got no answer and is not superseded yet.
     absl::Time m_lateOrderUntil = absl::InfinitePast();
-    absl::Time m_unansweredSince = absl::InfinitePast(); ///< start of the series of such orders
-    absl::Time m_unansweredSeriesUntil = absl::InfinitePast();
     absl::Time m_heartbeatStoredAt = absl::InfinitePast(); ///< when the newest stored one was sent
     std::uint64_t m_startsSent = 0;
-    bool m_shortLease = false; ///< a start was sent, and no poll was answered since
+    bool m_renewalDue = true; ///< the next poll extends the lease and does not wait
+    granted_leases m_grants;
     std::optional<std::int64_t> m_workerClockMs;
     absl::Time m_workerClockReadAt;
 };
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -13,6 +13,9 @@
 /// Interval between two heartbeats; the decider considers an agent silent after about three.
 constexpr absl::Duration HeartbeatInterval = absl::Milliseconds(1000);
 
+/// Shortest interval between two heartbeats, where orders need a recent one.
+constexpr absl::Duration MinHeartbeatInterval = absl::Milliseconds(500);
+
 /// Longest wait of one read of the journal. A completed read proves that no record was missed up to
 /// then; leases depend on how recent that proof is, see JournalReadValidity.
 constexpr absl::Duration JournalWait = absl::Milliseconds(1200);
@@ -51,6 +54,7 @@
     , m_writer(
           {m_options.journalTopic, absl::StrCat(m_options.agent.str(), "/journal"), clockEpoch()},
           store, m_hooks)
+    , m_grants(m_options.longestLeaseMs)
 {
     m_follower.setMinReadInterval(m_options.wakeAddress.empty() ? MinReadInterval
                                                                 : MinReadIntervalWithWakes);
@@ -202,8 +206,15 @@
     return next;
 }
 
+void batch_agent::hastenHeartbeat()
+{
+    m_heartbeatAt = std::min(m_heartbeatAt,
+                             std::max(m_hooks.now(), m_heartbeatSentAt + MinHeartbeatInterval));
+}
+
 void batch_agent::sendHeartbeat()
 {
+    m_heartbeatSentAt = m_hooks.now();
     m_heartbeatAt = m_hooks.now() + HeartbeatInterval;
     if (!m_description)
         return;
@@ -235,8 +246,10 @@
 
 void batch_agent::prepareStop()
 {
-    if (m_synced && !m_runs.empty())
+    if (m_synced && !m_runs.empty()) {
+        m_renewalDue = true;
         poll();
+    }
 }
 
 } // namespace hyssoppond::batch
--- a/src/batch/batch_agent_lease.cpp
+++ b/src/batch/batch_agent_lease.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Unanswered orders with shorter pauses between them are one series.
-constexpr absl::Duration UnansweredSeriesPause = absl::Seconds(15);
-
 /// Low bits of a fencing token, which count the raises of the token since the record that gave the
 /// high bits.
 constexpr unsigned TokenStepBits = 10;
@@ -40,13 +37,10 @@
 {
     if (outcome != order_outcome::NoAnswer)
         return;
-    if (m_hooks.now() >= m_unansweredSeriesUntil) {
-        m_unansweredSince = m_hooks.now();
-        m_heartbeatAt = m_hooks.now();
-    }
-    m_unansweredSeriesUntil = m_hooks.now() + UnansweredSeriesPause;
-    if (extendsLease)
+    if (extendsLease) {
         m_lateOrderUntil = m_hooks.now() + LongestOrderDelay;
+        hastenHeartbeat();
+    }
     if (sentToken != currentToken())
         return;
     supersedeOrders();
@@ -61,22 +55,21 @@
     m_silentAt = absl::InfiniteFuture();
 }
 
-std::optional<std::int64_t> batch_agent::leaseUntilMs(std::int64_t longestMs) const
+std::int64_t batch_agent::longestLeaseMs(granted_leases::effect kind) const
 {
     // An order that extends the lease needs a next token to supersede it.
     if (!m_workerClockMs || m_evicted || m_leaving || isSilent() || m_tokenStep == LastTokenStep)
-        return std::nullopt;
-    // An agent that is out of the decider's sight and does not know what its orders did may soon be
-    // evicted, and a late order could then outlast the wait for its leases.
-    if (m_hooks.now() < m_unansweredSeriesUntil && m_heartbeatStoredAt < m_unansweredSince)
-        return std::nullopt;
+        return 0;
     const absl::Time now = m_hooks.now();
-    const std::int64_t lease = allowedLeaseMs(m_follower.currentAsOf(), now, longestMs);
-    if (lease <= 0)
-        return std::nullopt;
-    const double passed
-        = absl::ToDoubleMilliseconds(now - m_workerClockReadAt) * (1.0 - WorkerClockError);
-    return *m_workerClockMs + static_cast<std::int64_t>(passed) + lease;
+    const absl::Time currentAsOf = m_follower.currentAsOf();
+    const absl::Time bound = latestAllowedEnd(m_heartbeatStoredAt, currentAsOf);
+    return std::min(allowedLeaseMs(currentAsOf, now, m_options.longestLeaseMs),
+                    m_grants.longestUntil(bound, now, kind));
+}
+
+std::int64_t batch_agent::workerClockMs() const
+{
+    return *m_workerClockMs + leaseMsWithin(m_hooks.now() - m_workerClockReadAt);
 }
 
 void batch_agent::noteGrant(std::int64_t leaseEndMs)
--- a/src/batch/batch_agent_orders_func.h
+++ b/src/batch/batch_agent_orders_func.h
@@ -17,11 +17,6 @@
 /// stopped.
 inline constexpr absl::Duration PollRetryDelay = absl::Milliseconds(200);
 
-/// Longest lease of a start, and of polls until one sent after it was answered. A start may be
-/// carried out late with its lease counting from then, also after its agent was lost. The lease
-/// then has to end before the run is given away. Polls extend it.
-inline constexpr std::int64_t StartLeaseMs = 2'700;
-
 /// Name of a run in the log.
 inline std::string nameOf(const item_run &id)
 {
--- a/src/batch/batch_agent_poll.cpp
+++ b/src/batch/batch_agent_poll.cpp
@@ -53,38 +53,50 @@
                                        [](const auto &entry) { return entry.second.uncertain; });
     updateLeaseProof();
     poll_request request;
-    request.leaseUntilMs = leaseUntilMs(m_shortLease ? StartLeaseMs : m_options.longestLeaseMs);
-    if (request.leaseUntilMs)
-        noteGrant(*request.leaseUntilMs);
     request.fencingToken = currentToken();
     // The worker may have restarted since its last answer, and then numbers its ends anew. Ends
     // that were never read must not be acknowledged by the numbers of the previous incarnation.
     const bool incarnationConfirmed = now - m_incarnationConfirmedAt < IncarnationConfirmedFor;
     request.acknowledgedEnd = incarnationConfirmed ? m_handledEnd : 0;
-    const bool mayWait = !m_shortLease && m_synced && !uncertain && m_reportsInFlight == 0
+    const bool mayWait = !m_renewalDue && m_synced && !uncertain && m_reportsInFlight == 0
         && incarnationConfirmed && m_handledEnd == m_acknowledgedEnd;
     request.wait = mayWait ? PollWait : absl::ZeroDuration();
+    // A poll that waits extends no lease: while an order with a long lease is without an answer,
+    // nothing can be started.
+    const std::int64_t leaseMs = mayWait ? 0 : longestLeaseMs(granted_leases::effect::None);
+    std::optional<std::uint64_t> grant;
+    if (leaseMs > 0) {
+        request.leaseUntilMs = workerClockMs() + leaseMs;
+        noteGrant(*request.leaseUntilMs);
+        grant = m_grants.noteSent(currentToken(), now, leaseMs, granted_leases::effect::None);
+    }
+    const bool isRenewal = !mayWait && !m_grants.hasUnansweredStart();
+    if (mayWait)
+        m_renewalDue = true;
     request.worker = m_description->worker;
     request.deadline = now + request.wait + OrderTimeout;
     request.freshConnection = m_pollOnFreshConnection;
     const std::uint64_t lastSeen = request.acknowledgedEnd;
-    const bool extendsLease = request.leaseUntilMs.has_value();
-    m_worker->poll(std::move(request),
-                   [this, sentToken = currentToken(), workerIncarnation = m_workerIncarnation, now,
-                    lastSeen, extendsLease, startsSent = m_startsSent](const poll_answer &answer) {
-                       m_polling = false;
-                       if (answer.outcome == order_outcome::Done && startsSent == m_startsSent)
-                           m_shortLease = false;
-                       // Carried out late, it would extend the lease past the time for which the
-                       // journal was read.
-                       if (extendsLease)
-                           supersedeIfUnanswered(answer.outcome, sentToken, true);
-                       if (answer.outcome == order_outcome::Done
-                           && workerIncarnation == m_workerIncarnation)
-                           m_acknowledgedEnd = std::max(m_acknowledgedEnd, lastSeen);
-                       onPoll(answer, sentToken, workerIncarnation, now);
-                       tick();
-                   });
+    m_worker->poll(
+        std::move(request),
+        [this, sentToken = currentToken(), workerIncarnation = m_workerIncarnation, now, lastSeen,
+         grant, isRenewal, startsSent = m_startsSent](const poll_answer &answer) {
+            m_polling = false;
+            if (grant && answer.outcome != order_outcome::NoAnswer)
+                m_grants.noteAnswered(*grant);
+            if (answer.outcome == order_outcome::Done) {
+                m_grants.noteAccepted(sentToken, m_hooks.now());
+                m_renewalDue = m_renewalDue && !(isRenewal && startsSent == m_startsSent);
+            }
+            // Carried out late, it would extend the lease past the time for which the
+            // journal was read.
+            if (grant)
+                supersedeIfUnanswered(answer.outcome, sentToken, true);
+            if (answer.outcome == order_outcome::Done && workerIncarnation == m_workerIncarnation)
+                m_acknowledgedEnd = std::max(m_acknowledgedEnd, lastSeen);
+            onPoll(answer, sentToken, workerIncarnation, now);
+            tick();
+        });
 }
 
 item_run batch_agent::resolveListedRun(const item_run &listed) const
@@ -210,7 +222,7 @@
         m_synced = true;
         m_announceDue = true;
     }
-    if (m_reportsInFlight != 0 || hasUnknownRuns)
+    if (m_reportsInFlight != 0 || hasUnknownRuns || m_grants.hasUnansweredStart())
         m_pollAt = now + PollRetryDelay;
 }
 
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -13,8 +13,8 @@
 /// Pause after a stop that failed.
 constexpr absl::Duration StopRetryDelay = absl::Milliseconds(200);
 
-/// A start is sent only with a lease of at least this length.
-constexpr std::int64_t ShortestLeaseMs = 1'000;
+/// A start is sent only with a lease of at least this length, which covers a poll on its way.
+constexpr std::int64_t ShortestStartLeaseMs = 2'000;
 
 /// Attempts to start an item before the agent reports that it did not start.
 constexpr std::uint32_t MaxStartAttempts = 4;
@@ -100,29 +100,34 @@
 
 void batch_agent::start(const item_run &id)
 {
-    const std::int64_t longestMs = std::min(StartLeaseMs, m_options.longestLeaseMs);
-    const std::optional<std::int64_t> until = leaseUntilMs(longestMs);
-    const std::int64_t lease = allowedLeaseMs(m_follower.currentAsOf(), m_hooks.now(), longestMs);
-    if (!until || lease < ShortestLeaseMs)
+    const std::int64_t leaseMs = longestLeaseMs(granted_leases::effect::Starts);
+    if (leaseMs < std::min(ShortestStartLeaseMs, m_options.longestLeaseMs)) {
+        hastenHeartbeat();
         return;
+    }
     local_run &run = m_runs.at(id);
     run.state = phase::Starting;
     run.progressAt = m_hooks.now();
     ++run.startAttempts;
-    m_shortLease = true;
+    m_renewalDue = true;
     ++m_startsSent;
-    noteGrant(*until);
+    const std::int64_t leaseEndMs = workerClockMs() + leaseMs;
+    noteGrant(leaseEndMs);
+    const std::uint64_t grant
+        = m_grants.noteSent(currentToken(), m_hooks.now(), leaseMs, granted_leases::effect::Starts);
     logDecision("start", nameOf(id), absl::StrCat("token ", currentToken(), ", ", describeLease()));
     start_order order;
     order.run = id;
     order.payload = run.payload;
     order.checkpoint = run.checkpoint;
-    order.leaseUntilMs = *until;
+    order.leaseUntilMs = leaseEndMs;
     order.fencingToken = currentToken();
     order.worker = m_description->worker;
     order.deadline = m_hooks.now() + OrderTimeout;
     m_worker->start(std::move(order),
-                    [this, id, sentToken = currentToken()](const order_answer &answer) {
+                    [this, id, grant, sentToken = currentToken()](const order_answer &answer) {
+                        if (answer.outcome != order_outcome::NoAnswer)
+                            m_grants.noteAnswered(grant);
                         onStarted(id, sentToken, answer);
                     });
 }
@@ -130,6 +135,8 @@
 void batch_agent::onStarted(const item_run &id, std::uint64_t sentToken, const order_answer &answer)
 {
     updateWorkerClock(answer.workerClockMs);
+    if (answer.outcome == order_outcome::Done)
+        m_grants.noteAccepted(sentToken, m_hooks.now());
     if (m_superseded)
         return;
     supersedeIfUnanswered(answer.outcome, sentToken, true);
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -30,10 +30,6 @@
 /// An agent without a heartbeat for this time gets no new work.
 constexpr absl::Duration SilentAfter = absl::Milliseconds(2800);
 
-/// An agent with runs and without a heartbeat for this time is evicted: the eviction is recorded in
-/// the journal, and its runs are declared lost later.
-constexpr absl::Duration EvictAfter = absl::Milliseconds(3300);
-
 /// After a longer gap between two reads of the heartbeats, their absence tells nothing about the
 /// agents, and the silence of each counts anew.
 constexpr absl::Duration MaxHeartbeatReadGap = absl::Milliseconds(2000);
--- a/tests/batch_late_order_test.cpp
+++ b/tests/batch_late_order_test.cpp
@@ -52,6 +52,33 @@
         m_site->withoutDatagrams.clear();
     }
 
+    /// From now on the heartbeats of agent-0 are lost.
+    void loseHeartbeats()
+    {
+        store_port &port = m_site->agents.at("agent-0")->port;
+        port.append = [append = port.append](append_request request,
+                                             std::function<void(append_answer)> done) {
+            if (request.topic != HeartbeatTopic)
+                append(std::move(request), std::move(done));
+        };
+    }
+
+    /// Runs until agent-0 has sent the next order to its worker, which is late by `delay`.
+    void runUntilOrderIsLateBy(absl::Duration delay)
+    {
+        delayOrders(delay);
+        const std::size_t calls = worker().calls;
+        while (worker().calls == calls)
+            runFor(absl::Milliseconds(5));
+    }
+
+    /// Loses the machine of agent-0 for good. Its worker lives on.
+    void loseAgent()
+    {
+        m_site->kill("agent-0");
+        offerOtherWorker();
+    }
+
     /// Makes agent-0 run both items of a gang.
     void runGang()
     {
@@ -97,19 +124,16 @@
 {
     start();
     runGang();
-    // Without a heartbeat after the first unanswered order, no order would carry a lease.
-    delayOrders(absl::Milliseconds(3'500));
-    runFor(absl::Seconds(3));
-    delayOrders(absl::ZeroDuration());
-    runFor(absl::Seconds(4));
     cutAgent();
-    runFor(absl::Seconds(2));
-    delayOrders(absl::Milliseconds(3'500));
-    runFor(ReadInFlight + JournalReadValidity - absl::Seconds(2));
+    runFor(absl::Seconds(4));
+    // The first of these polls is carried out just before the last lease ends.
+    delayOrders(absl::Milliseconds(4'200));
+    runFor(ReadInFlight + JournalReadValidity - absl::Seconds(4));
     ASSERT_EQ(worker().running(), 2U) << "no late poll kept the runs alive";
     delayOrders(absl::ZeroDuration());
     offerOtherWorker();
     runFor(absl::Seconds(1));
+    EXPECT_THAT(m_site->decisionsAbout(m_id), testing::HasSubstr("run unleased"));
     EXPECT_EQ(worker().running(), 0U) << m_site->decisionsAbout(m_id);
     runFor(absl::Seconds(30));
     EXPECT_EQ(m_site->history.starts, 4U);
@@ -233,6 +257,85 @@
     EXPECT_EQ(worker().running(), 4U) << m_site->decisionsAbout("agent-0");
 }
 
+/// The parameter is the time of the fault, in ms. It shifts the fault against the heartbeats and
+/// the decider's reads of them.
+class batch_lost_agent_test
+    : public batch_late_order_test
+    , public testing::WithParamInterface<int>
+{
+protected:
+    void startAtPhase()
+    {
+        start();
+        runFor(absl::Milliseconds(GetParam()));
+    }
+
+    /// The `runs` of the lost agent run elsewhere later, but not before they have ended at its
+    /// worker.
+    void expectRunsGivenAwayInTime(std::size_t runs)
+    {
+        runFor(absl::Seconds(40));
+        EXPECT_EQ(m_site->workers.at("agent-1")->running(), runs) << m_site->decisionsAbout(m_id);
+        EXPECT_THAT(m_site->history.breaches, IsEmpty()) << m_site->decisionsAbout("");
+    }
+};
+
+// Guards against a start whose lease does not allow for the age of the last heartbeat: carried out
+// late, after its agent was lost, it ran on when the decider gave the run away.
+TEST_P(batch_lost_agent_test, lateStartAfterLostHeartbeatsEndsBeforeItsRunIsGivenAway)
+{
+    startAtPhase();
+    loseHeartbeats();
+    runFor(absl::Milliseconds(1'700));
+    delayOrders(LongestOrderDelay);
+    m_site->submit("entry-0", m_id, "normal", batch_site::stepOf(2, 1, true));
+    runFor(absl::Milliseconds(300));
+    loseAgent();
+    expectRunsGivenAwayInTime(2);
+}
+
+// Guards against a long poll on its way when a run is started: carried out after the late start, it
+// extended the start's short lease by the longest one.
+TEST_P(batch_lost_agent_test, latePollSentBeforeALateStartDoesNotExtendItsLease)
+{
+    startAtPhase();
+    runGang();
+    runUntilOrderIsLateBy(LongestOrderDelay);
+    delayOrders(LongestOrderDelay - absl::Milliseconds(600));
+    m_site->submit("entry-0", batch_site::idOf(2), "normal", batch_site::stepOf(2, 1, true));
+    runFor(absl::Milliseconds(300));
+    loseAgent();
+    expectRunsGivenAwayInTime(4);
+}
+
+// Guards against a long poll on its way when a run is started: carried out before the late start,
+// it left its worker a lease that the run got as well.
+TEST_P(batch_lost_agent_test, lateStartDoesNotTakeTheLeaseOfALatePoll)
+{
+    startAtPhase();
+    runGang();
+    runUntilOrderIsLateBy(LongestOrderDelay);
+    m_site->submit("entry-0", batch_site::idOf(2), "normal", batch_site::stepOf(2, 1, true));
+    runFor(absl::Milliseconds(300));
+    loseAgent();
+    expectRunsGivenAwayInTime(4);
+}
+
+// Guards against a series of late polls, each of which is carried out before the lease of the one
+// before it is over: after their agent was lost, they kept the runs alive for more than 18 s.
+TEST_P(batch_lost_agent_test, seriesOfLatePollsEndsBeforeTheRunsAreGivenAway)
+{
+    startAtPhase();
+    runGang();
+    runUntilOrderIsLateBy(absl::Milliseconds(4'300));
+    runUntilOrderIsLateBy(absl::Milliseconds(7'600));
+    runUntilOrderIsLateBy(LongestOrderDelay);
+    loseAgent();
+    expectRunsGivenAwayInTime(2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Phases, batch_lost_agent_test, testing::Range(0, 800, 100));
+
 // Guards against two runs of one item at the same time, and against a run of an item that has
 // completed, when late orders with leases from their arrival meet agents that are lost for long.
 class batch_late_schedule_test : public testing::TestWithParam<std::uint64_t>
