The wait for a lost agent also counts from the last heartbeat that was read

What callers saw: two runs of one item at the same time are possible when an agent is lost for good shortly after its heartbeats had come again, while its eviction was being written.

Cause: an agent relies on being evicted no earlier than 3.3 s after its last stored heartbeat. But heartbeats that the decider reads between its decision to evict and its own read of the eviction reinstate nobody, and the wait of 12.5 s counted from that read.

Change: runs are declared lost no earlier than 15.8 s after the last heartbeat that was read without a gap, either. In all other cases the eviction is at least 3.3 s later than that heartbeat and nothing changes. A new decider does not know when the one before it read the heartbeat; for it the wait counts from the eviction as before.

--- a/include/hyssoppond/batch/lease_rule_func.h
+++ b/include/hyssoppond/batch/lease_rule_func.h
@@ -71,10 +71,11 @@
 }
 
 /// Earliest time at which the runs of an agent may be declared lost, if its eviction was in the
-/// journal at `recordedAt` or before.
-inline absl::Time runsLostAt(absl::Time recordedAt)
+/// journal at `recordedAt` or before and its last heartbeat was read at `heartbeatReadAt`, which
+/// may be later than the eviction.
+inline absl::Time runsLostAt(absl::Time recordedAt, absl::Time heartbeatReadAt)
 {
-    return recordedAt + JournalReadValidity + LeaseSlack;
+    return std::max(recordedAt, heartbeatReadAt + EvictAfter) + JournalReadValidity + LeaseSlack;
 }
 
 /// Latest allowed end of all leases of an agent that may be lost at any moment. Its last stored
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -276,7 +276,8 @@
             logRecord(reinstatement, "heartbeats received again");
             recordEviction(agent, reinstatement);
         } else if (evicted && holdsRuns && m_heartbeatsReadAt != absl::InfinitePast()
-                   && now >= runsLostAt(evictionReadAt) && !watch.evictionQueued) {
+                   && now >= runsLostAt(evictionReadAt, watch.recentHeartbeatAt)
+                   && !watch.evictionQueued) {
             declareRunsLost(agent);
         }
     }
--- a/tests/batch_late_order_test.cpp
+++ b/tests/batch_late_order_test.cpp
@@ -334,6 +334,37 @@
     expectRunsGivenAwayInTime(2);
 }
 
+// Guards against an eviction that is recorded after heartbeats have come again: the decider counted
+// the wait for late orders from the eviction, though its agent had relied on the heartbeats.
+TEST_P(batch_lost_agent_test, runsAreNotGivenAwayEarlierForAnEvictionBeforeTheLastHeartbeat)
+{
+    startAtPhase();
+    runGang();
+    store_port &agentPort = m_site->agents.at("agent-0")->port;
+    const auto append = agentPort.append;
+    loseHeartbeats();
+    std::function<void()> recordEviction;
+    store_port &entryPort = m_site->entries.at("entry-0")->port;
+    entryPort.append = [&recordEviction, append = entryPort.append](
+                           append_request request, std::function<void(append_answer)> done) {
+        if (request.records.front().key.starts_with("v:"))
+            recordEviction = [append, request, done] { append(request, done); };
+        else
+            append(std::move(request), std::move(done));
+    };
+    while (!recordEviction)
+        runFor(absl::Milliseconds(5));
+    agentPort.append = append;
+    runFor(absl::Seconds(1));
+    runUntilOrderIsLateBy(absl::Milliseconds(4'300));
+    runUntilOrderIsLateBy(absl::Milliseconds(7'600));
+    runUntilOrderIsLateBy(LongestOrderDelay);
+    loseAgent();
+    runFor(absl::Milliseconds(900)); // the decider reads the last heartbeat
+    recordEviction();
+    expectRunsGivenAwayInTime(2);
+}
+
 INSTANTIATE_TEST_SUITE_P(Phases, batch_lost_agent_test, testing::Range(0, 800, 100));
 
 // Guards against two runs of one item at the same time, and against a run of an item that has
