--- a/tests/odd_report_test.cpp
+++ b/tests/odd_report_test.cpp
@@ -5,9 +5,15 @@
 #include "platform/json_field_func.h"
 #include "platform/store_adapter.h"
 #include "platform/wire_decode_func.h"
+#include "platform/worker_adapter.h"
 
 #include <absl/strings/str_cat.h>
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace hyssoppond::platform {
 namespace {
@@ -311,5 +317,118 @@
     }
 }
 
+/// Listens on loopback and counts the requests of the connections that it accepts. It answers the
+/// first request and closes the connection of the second one, which it has read, without an answer.
+class closing_worker
+{
+public:
+    explicit closing_worker(event_loop *loop)
+        : m_loop(loop)
+        , m_listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        EXPECT_EQ(bind(m_listener, reinterpret_cast<sockaddr *>(&address), size), 0);
+        EXPECT_EQ(listen(m_listener, 4), 0);
+        getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
+        port = ntohs(address.sin_port);
+        m_loop->watch(m_listener, EPOLLIN, [this](std::uint32_t) {
+            const int connection = accept(m_listener, nullptr, nullptr);
+            m_loop->watch(connection, EPOLLIN,
+                          [this, connection](std::uint32_t) { onReadable(connection); });
+        });
+    }
+    ~closing_worker()
+    {
+        m_loop->unwatch(m_listener);
+        close(m_listener);
+    }
+    closing_worker(const closing_worker &) = delete;
+    closing_worker &operator=(const closing_worker &) = delete;
+
+    std::uint16_t port = 0;
+    int firstStatus = 200; ///< of the answer to the first request
+    int requests = 0;
+
+private:
+    void onReadable(int connection)
+    {
+        char data[2'000];
+        const bool isRequest = read(connection, data, sizeof data) > 0;
+        if (isRequest && ++requests != 2) {
+            const std::string answer = requests == 1
+                ? "HTTP/1.1 " + std::to_string(firstStatus) + " X\r\nContent-Length: 0\r\n\r\n"
+                : "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n";
+            EXPECT_EQ(write(connection, answer.data(), answer.size()),
+                      static_cast<ssize_t>(answer.size()));
+            return;
+        }
+        m_loop->unwatch(connection);
+        close(connection);
+    }
+
+    event_loop *m_loop;
+    int m_listener;
+};
+
+// Guards against a start that is recorded as not started although the worker may carry it out: its
+// connection is closed without an answer, and a repetition that the agent knows nothing of is
+// refused.
+TEST(worker_adapter_test, orderWhoseConnectionClosesIsNotRepeated)
+{
+    event_loop loop;
+    loop.callAt(event_loop::steadyNow() + absl::Seconds(10), [&] { loop.stop(); });
+    closing_worker worker(&loop);
+    http_client client(&loop);
+    const batch::item_worker_port port = makeWorkerPort(&client, {"127.0.0.1", worker.port});
+    batch::start_order order;
+    order.deadline = event_loop::steadyNow() + absl::Seconds(5);
+    batch::order_outcome first = batch::order_outcome::Rejected;
+    batch::order_outcome second = batch::order_outcome::Rejected;
+    port.start(order, [&](const batch::order_answer &answer) {
+        first = answer.outcome;
+        port.start(order, [&](const batch::order_answer &repeated) {
+            second = repeated.outcome;
+            loop.stop();
+        });
+    });
+    loop.run();
+    EXPECT_EQ(first, batch::order_outcome::Done);
+    EXPECT_EQ(second, batch::order_outcome::NoAnswer);
+    EXPECT_EQ(worker.requests, 2);
+}
+
+// Guards against a start that is recorded as not started because of an answer that does not say so.
+TEST(worker_adapter_test, onlyAnswersThatSayThatNothingWasDoneCountSo)
+{
+    using batch::order_outcome;
+    const std::vector<std::pair<int, order_outcome>> outcomes {
+        {200, order_outcome::Done},      {201, order_outcome::NoAnswer},
+        {202, order_outcome::NoAnswer},  {302, order_outcome::NoAnswer},
+        {400, order_outcome::Rejected},  {421, order_outcome::WorkerRestarted},
+        {429, order_outcome::Unhealthy}, {500, order_outcome::NoAnswer},
+        {502, order_outcome::NoAnswer},  {503, order_outcome::Unhealthy},
+        {504, order_outcome::NoAnswer}};
+    for (const auto &[status, expected] : outcomes) {
+        event_loop loop;
+        loop.callAt(event_loop::steadyNow() + absl::Seconds(10), [&] { loop.stop(); });
+        closing_worker worker(&loop);
+        worker.firstStatus = status;
+        http_client client(&loop);
+        const batch::item_worker_port port = makeWorkerPort(&client, {"127.0.0.1", worker.port});
+        batch::start_order order;
+        order.deadline = event_loop::steadyNow() + absl::Seconds(5);
+        std::optional<order_outcome> outcome;
+        port.start(order, [&](const batch::order_answer &answer) {
+            outcome = answer.outcome;
+            loop.stop();
+        });
+        loop.run();
+        EXPECT_EQ(outcome, expected) << status;
+    }
+}
+
 } // namespace
 } // namespace hyssoppond::platform
