Known failure: a late start by the clock of the worker's incarnation before

The test shows two runs of one item after three faults at once: a worker restarts under its name, its agent sends a start before it knows and is then lost for good, and the worker carries the start out 12 s late. The lease in it is computed with the clock of the incarnation before, so the worker grants the longest one, and the run lasts longer than the wait for a lost agent.

--- a/tests/batch_end_proof_test.cpp
+++ b/tests/batch_end_proof_test.cpp
@@ -149,9 +149,19 @@
     std::string m_id = batch_site::idOf(1);
 };
 
-// Guards against two runs of one item: after a restart of the worker, an answer of the incarnation
-// before arrives, and the lease of a start is computed with its clock. Carried out late, the start
-// would last longer than the decider waits for a lost agent.
+// Guards against two runs of one item: an order for a worker that has restarted under its name, and
+// that its agent takes for the one before, holds a lease by the clock of the latter. Carried out
+// late, it would last longer than the decider waits for a lost agent.
+TEST_F(batch_clock_incarnation_test, lateStartAtARestartedWorkerHoldsNoLongLease)
+{
+    worker().restart();
+    m_site.clock.runFor(absl::Milliseconds(600));
+    loseAgentAfterALateStart(m_id);
+    EXPECT_THAT(m_site.history.breaches, IsEmpty()) << m_site.decisionsAbout(m_id);
+}
+
+// Guards against the same when the agent knows of the restart, and an answer of the worker before
+// it arrives later.
 TEST_F(batch_clock_incarnation_test, lateAnswerOfAnEarlierIncarnationTellsNoClock)
 {
     item_worker_port &port = m_site.agents.at(Agent)->worker;
