--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -110,7 +110,7 @@
         return;
     run.working = false;
     for (const auto &[member, endMember] : run.members)
-        m_clock->after(BrokenNoticeTime, [endMember] { endMember(run_end::Broken); });
+        m_clock->after(BrokenNoticeTime, [end = endMember] { end(run_end::Broken); });
 }
 
 fake_item_worker::fake_item_worker(virtual_clock *clock, item_history *history,
