--- a/tests/odd_report_test.cpp
+++ b/tests/odd_report_test.cpp
@@ -292,7 +292,7 @@
     const std::string usual = encodeRecords("keyed.t", {{"key", "value", 0}});
     for (const std::string &odd : {std::string("\0\0\0\0", 4), std::string("\0\0\0\1\xff", 5),
                                    std::string("\0\0\0\3\3ab", 7)}) {
-        const auto read = decodeRecords("keyed.t", 40, header + odd + usual);
+        const auto read = decodeRecords("keyed.t", 40, absl::StrCat(header, odd, usual));
         ASSERT_TRUE(read.has_value());
         ASSERT_EQ(read->records.size(), 2U);
         EXPECT_EQ(read->records[0].value, "");
