A draining worker that refuses connections counts as gone

A worker taken away at short notice reports that it drains and ends without deregistering. Its agent had two signs of the end and used neither: the drain, and refused connections from its own machine. It repeated polls and stops until it was ended itself, and the decider then waited for an eviction and its leases.

Three refused polls in a row now end a draining worker too, unless a heartbeat of it arrives between them. A failed stop no longer puts off the next poll: with stops of several runs failing in turn, no poll was ever sent. Crashed workers that did not drain still wait for their leases.

Tests: runsOfADrainingWorkerThatEndedWithoutNoticeAreOrderedAgainSoon and failingStopsDoNotPutOffThePolls failed before.

--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -223,7 +223,6 @@
                            run->second.stopRetryAt = retryAt;
                        }
                        supersedeIfUnanswered(answer.outcome, sentToken, false);
-                       m_pollAt = std::max(m_pollAt, retryAt);
                    });
 }
 
--- a/src/batch/batch_agent_worker.cpp
+++ b/src/batch/batch_agent_worker.cpp
@@ -18,7 +18,8 @@
 /// takes up to 0.9 s, and callers expect the answer within a second.
 constexpr absl::Duration NoticeAnswerTimeout = absl::Milliseconds(900);
 
-/// A worker that has given notice is gone if its machine refuses this many connections in a row.
+/// A worker that has given notice or drains is gone if its machine refuses this many connections in
+/// a row and no heartbeat of it arrives meanwhile.
 constexpr unsigned MaxRefusedPolls = 3;
 
 bool sameAnnouncement(const worker_description &a, const worker_description &b)
@@ -44,6 +45,8 @@
         tick();
         return;
     }
+    if (!newIncarnation && !m_leaving)
+        m_refusedPolls = 0; // it lives, even if it accepts no connection for a moment
     if (!newIncarnation && (m_leaving || sameAnnouncement(*m_description, worker)))
         return;
     m_description = worker;
@@ -68,6 +71,7 @@
     m_acknowledgedEnd = 0;
     m_incarnationConfirmedAt = absl::InfinitePast();
     m_silentAt = absl::InfiniteFuture();
+    m_refusedPolls = 0;
     m_workerClockMs.reset();
     m_grantedUntilMs = 0;
     m_pollAt = m_hooks.now();
@@ -116,14 +120,20 @@
         endWorker();
         return;
     }
+    // The worker is on the same machine, which refuses connections only while nobody listens. One
+    // that drains may end without a notice, or its notice may be lost.
+    const bool isGone = m_refusedPolls >= MaxRefusedPolls;
+    if (m_synced && m_description->draining && isGone) {
+        endWorker();
+        return;
+    }
     if (!m_leaving)
         return;
     const bool settled
         = m_synced && m_runs.empty() && m_reportsInFlight == 0 && m_handledEnd <= m_acknowledgedEnd;
     if (settled || now >= m_noticeAnswerAt)
         answerNotices();
-    // The worker is on the same machine, which refuses connections only while nobody listens.
-    if (settled || leasesOver || m_refusedPolls >= MaxRefusedPolls)
+    if (settled || leasesOver || isGone)
         endWorker();
 }
 
--- a/tests/batch_worker_report_test.cpp
+++ b/tests/batch_worker_report_test.cpp
@@ -122,6 +122,88 @@
     EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
 }
 
+// Guards against runs that wait for a lease, or for the eviction of an agent that ends a few
+// seconds after its worker: the worker has said that it drains, its notice never came, and nobody
+// listens at its address any more.
+TEST_F(batch_worker_report_test, runsOfADrainingWorkerThatEndedWithoutNoticeAreOrderedAgainSoon)
+{
+    start(2);
+    const std::string agent = startItem(absl::Seconds(20));
+    ASSERT_NE(agent, "");
+    workerOf(agent).setDraining(0);
+    m_site->clock.runFor(absl::Milliseconds(1'600));
+    for (auto &[name, worker] : m_site->workers)
+        worker->itemTime = absl::Seconds(1);
+    workerOf(agent).restart();
+    workerOf(agent).faults.unreachable = true;
+    workerOf(agent).faults.notListening = true;
+    m_site->clock.runFor(absl::Milliseconds(3'000));
+    m_site->kill(agent);
+    m_site->clock.runFor(absl::Seconds(2));
+    EXPECT_EQ(status(), job_status::Completed) << decisions();
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
+}
+
+// Guards against a worker that is taken for gone although it still sends heartbeats: it drains and
+// accepts no connection for a while.
+TEST_F(batch_worker_report_test, drainingWorkerWithHeartbeatsIsNotTakenForGone)
+{
+    start(2);
+    const std::string agent = startItem(absl::Seconds(20));
+    ASSERT_NE(agent, "");
+    workerOf(agent).setDraining(0);
+    m_site->clock.runFor(absl::Milliseconds(1'600));
+    workerOf(agent).faults.notListening = true;
+    // Two polls are refused between two heartbeats.
+    item_worker_port &port = m_site->agents.at(agent)->worker;
+    const auto send = port.poll;
+    port.poll
+        = [this, send](const poll_request &request, const std::function<void(poll_answer)> &done) {
+              m_site->clock.after(absl::Milliseconds(550),
+                                  [send, request, done] { send(request, done); });
+          };
+    m_site->clock.runFor(absl::Milliseconds(4'000));
+    port.poll = send;
+    workerOf(agent).faults.notListening = false;
+    m_site->clock.runFor(absl::Seconds(40));
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
+    EXPECT_EQ(m_site->history.starts, 1U) << decisions();
+    EXPECT_EQ(status(), job_status::Completed) << decisions();
+}
+
+// Guards against polls that wait without end because the stops of several runs fail in turn: each
+// failure used to put off the next poll, which is what shows that the worker has ended.
+TEST_F(batch_worker_report_test, failingStopsDoNotPutOffThePolls)
+{
+    start(2);
+    const std::string agent = startItem(absl::Seconds(20));
+    ASSERT_NE(agent, "");
+    workerOf(agent == "agent-0" ? "agent-1" : "agent-0").setDraining(0);
+    m_site->clock.runFor(absl::Milliseconds(1'600));
+    std::vector<std::string> others;
+    for (std::uint64_t i = 2; i < 6; ++i) {
+        others.push_back(batch_site::idOf(i));
+        m_site->submit("entry-0", others.back(), "normal", batch_site::stepOf(1, 1, false));
+    }
+    m_site->clock.runFor(absl::Seconds(1));
+    ASSERT_EQ(workerOf(agent).running(), 5U);
+    workerOf(agent == "agent-0" ? "agent-1" : "agent-0").restart();
+    for (auto &[name, worker] : m_site->workers)
+        worker->itemTime = absl::Seconds(1);
+    workerOf(agent).setDraining(0);
+    m_site->clock.runFor(absl::Milliseconds(1'600));
+    workerOf(agent).restart();
+    workerOf(agent).faults.unreachable = true;
+    workerOf(agent).faults.notListening = true;
+    for (const std::string &other : others) {
+        m_site->call("entry-0", call_kind::Cancel, "/normal/" + other);
+        m_site->clock.runFor(absl::Milliseconds(50));
+    }
+    m_site->clock.runFor(absl::Milliseconds(2'500));
+    EXPECT_EQ(status(), job_status::Completed) << decisions();
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
+}
+
 // Guards against runs that lose their work, or wait for the end of a lease, when a worker that
 // leaves still answers: the agent stops them before it answers the notice.
 TEST_F(batch_worker_report_test, runsOfALeavingWorkerAreStoppedBeforeTheNoticeIsAnswered)
