A plan's cost no longer grows with the square of jobs and members

On 240 workers one plan held the deciding entry for seconds: its joins and reads came late. Each waiting unit counted its team's urgent runs over all jobs, each worker compared all members of all gangs by name, items with a limit per worker counted the whole step for each worker, and each trial of a preemption copied the state of all workers.

A plan now collects jobs, runs and workers once, finds workers by hash, counts the members of a step once, remembers items that fit nowhere, and looks at a preemption option again only when its worker changed. A search for victims ends at the highest cost that would be accepted. Decisions are the same, but that a gang in one rack no longer looks across racks once every rack was given up as too costly.

--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace hyssoppond::batch {
@@ -41,9 +42,15 @@
 {
     process_id agent;
     const worker_description *description = nullptr;
-    resources free;      ///< neither used by a run nor reserved by the plan; may be negative
-    resources releasing; ///< used by runs that are being stopped
+    std::size_t rack = 0; ///< index of its rack among those of the plan
+    resources free;       ///< neither used by a run nor reserved by the plan; may be negative
+    resources releasing;  ///< used by runs that are being stopped
     bool quarantined = false;
+    bool silent = false; ///< its agent sends no heartbeats
+    bool evicted = false;
+    /// Active runs with members here, as indexes among those of the plan, and the number of these
+    /// members.
+    std::vector<std::pair<std::size_t, std::uint32_t>> runs;
 };
 
 /// A decision with the reason and the inputs that the log gives for it.
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -89,6 +89,7 @@
 std::vector<plan_decision> batch_scheduler::plan(const plan_input &input)
 {
     plan_maker maker {input, m_options, m_times};
+    maker.collectJobs();
     maker.collectWorkers(*this);
     maker.failExhaustedJobs();
     maker.stopBrokenRuns();
@@ -111,6 +112,35 @@
     return absl::InfiniteFuture();
 }
 
+void plan_maker::collectJobs()
+{
+    for (const auto &[id, job] : input.state->jobs()) {
+        if (!job.isOver())
+            openJobs.push_back(&job);
+        if (job.activeUnits.empty())
+            continue;
+        const queue_policy *queue = queueOf(job.job.queue);
+        const bool isUrgent = queue != nullptr && queue->priority == 0;
+        for (const unit_id &unit : job.activeUnits) {
+            const unit_state &state
+                = job.occurrences[unit.occurrence].steps[unit.step].units[unit.index];
+            const resources &item = job.job.steps[unit.step].item;
+            runs.push_back({&job, &unit, &*state.active, item});
+            if (isUrgent)
+                urgentUse[job.job.team.str()]
+                    += item.accelerators * static_cast<std::int64_t>(state.active->members.size());
+        }
+    }
+}
+
+const queue_policy *plan_maker::queueOf(const std::string &name) const
+{
+    const auto [entry, added] = knownQueues.try_emplace(name, nullptr);
+    if (added)
+        entry->second = input.config->findQueue(name);
+    return entry->second;
+}
+
 void plan_maker::collectWorkers(const batch_scheduler &scheduler)
 {
     for (const auto &[agent, announced] : input.state->agents()) {
@@ -123,47 +153,54 @@
         const auto quarantine = scheduler.m_quarantines.find(agent);
         worker.quarantined
             = quarantine != scheduler.m_quarantines.end() && quarantine->second.until > input.now;
-        for (const unit_id &id : input.state->runsOn(agent)) {
-            const job_state *job = input.state->find(id.job);
-            const run_state &run = *input.state->findUnit(id)->active;
-            const resources need = job->job.steps[id.step].item;
-            for (const member_state &member : run.members) {
-                if (member.member.agent != agent || member.end)
-                    continue;
-                worker.free -= need;
-                if (run.stopping || job->isOver())
-                    worker.releasing += need;
-            }
-        }
+        worker.silent = input.silent.contains(agent);
+        worker.evicted = input.state->isEvicted(agent);
+        const auto rack = std::find(racks.begin(), racks.end(), announced.worker.rack);
+        worker.rack = static_cast<std::size_t>(rack - racks.begin());
+        if (rack == racks.end())
+            racks.push_back(announced.worker.rack);
+        workerIndexes.emplace(agent.str(), workers.size());
         workers.push_back(std::move(worker));
     }
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+        const active_run &run = runs[i];
+        for (const member_state &member : run.state->members) {
+            const auto found = workerIndexes.find(member.member.agent.str());
+            if (member.end || found == workerIndexes.end())
+                continue;
+            worker_availability &worker = workers[found->second];
+            worker.free -= run.item;
+            if (run.state->stopping || run.job->isOver())
+                worker.releasing += run.item;
+            if (worker.runs.empty() || worker.runs.back().first != i)
+                worker.runs.emplace_back(i, 0);
+            ++worker.runs.back().second;
+        }
+    }
 }
 
-void plan_maker::stopRun(const unit_id &unit, std::string why)
+void plan_maker::stopRun(const active_run &run, std::string why)
 {
-    if (!stopped.insert(unit).second)
+    if (!stopped.insert(*run.unit).second)
         return;
-    decisions.push_back(
-        {run_stopping {unit, input.state->findUnit(unit)->active->run}, std::move(why)});
-    const resources need = input.state->find(unit.job)->job.steps[unit.step].item;
-    for (const member_state &member : input.state->findUnit(unit)->active->members) {
-        for (worker_availability &worker : workers) {
-            if (worker.agent == member.member.agent && !member.end)
-                worker.releasing += need;
-        }
+    decisions.push_back({run_stopping {*run.unit, run.state->run}, std::move(why)});
+    for (const member_state &member : run.state->members) {
+        const auto found = workerIndexes.find(member.member.agent.str());
+        if (!member.end && found != workerIndexes.end())
+            workers[found->second].releasing += run.item;
     }
 }
 
 void plan_maker::failExhaustedJobs()
 {
-    for (const auto &[id, job] : input.state->jobs()) {
-        const queue_policy *queue = input.config->findQueue(job.job.queue);
-        if (job.isOver() || queue == nullptr)
+    for (const job_state *job : openJobs) {
+        const queue_policy *queue = queueOf(job->job.queue);
+        if (queue == nullptr)
             continue;
         bool isExhausted = false;
-        for (const occurrence_state &occurrence : job.occurrences) {
+        for (const occurrence_state &occurrence : job->occurrences) {
             for (std::size_t stepIndex = 0; stepIndex < occurrence.steps.size(); ++stepIndex) {
-                if (job.job.steps[stepIndex].longRunning)
+                if (job->job.steps[stepIndex].longRunning)
                     continue;
                 for (const unit_state &unit : occurrence.steps[stepIndex].units)
                     isExhausted
@@ -171,50 +208,46 @@
             }
         }
         if (isExhausted)
-            decisions.push_back({job_failed {id}, "an item used all its attempts"});
+            decisions.push_back({job_failed {job->job.id}, "an item used all its attempts"});
     }
 }
 
 void plan_maker::stopBrokenRuns()
 {
-    for (const auto &[id, job] : input.state->jobs()) {
-        if (job.isOver())
+    for (const active_run &run : runs) {
+        if (run.job->isOver() || run.state->stopping)
             continue;
-        for (const unit_id &unit : job.activeUnits) {
-            const run_state &run = *input.state->findUnit(unit)->active;
-            if (run.stopping)
+        bool memberEnded = false;
+        bool memberDone = false;
+        bool outlivesWorker = false;
+        for (const member_state &member : run.state->members) {
+            if (member.end) {
+                memberDone = memberDone || *member.end == run_end::Done;
+                memberEnded = true;
                 continue;
-            bool memberEnded = false;
-            bool memberDone = false;
-            bool outlivesWorker = false;
-            for (const member_state &member : run.members) {
-                if (member.end) {
-                    memberDone = memberDone || *member.end == run_end::Done;
-                    memberEnded = true;
-                    continue;
-                }
-                const auto agent = input.state->agents().find(member.member.agent);
-                if (agent == input.state->agents().end() || !agent->second.worker.draining)
-                    continue;
-                // A run that cannot end before its worker leaves is stopped early, while little
-                // work is lost, and starts again elsewhere.
-                const unix_ms expectedEndMs = run.orderedMs
-                    + times.expectedMs(job.job.queue, job.job.steps[unit.step].estimateMs);
-                const unix_ms workerLeavesMs = agent->second.worker.earliestLeaveMs;
-                outlivesWorker
-                    = outlivesWorker || (workerLeavesMs != 0 && expectedEndMs > workerLeavesMs);
             }
-            if (outlivesWorker)
-                stopRun(unit, "its worker leaves before the expected end of the run");
-            else if (memberEnded && !memberDone)
-                stopRun(unit, "a member of its gang has ended");
+            const auto found = workerIndexes.find(member.member.agent.str());
+            if (found == workerIndexes.end() || !workers[found->second].description->draining)
+                continue;
+            // A run that cannot end before its worker leaves is stopped early, while little
+            // work is lost, and starts again elsewhere.
+            const unix_ms expectedEndMs = run.state->orderedMs
+                + times.expectedMs(run.job->job.queue,
+                                   run.job->job.steps[run.unit->step].estimateMs);
+            const unix_ms workerLeavesMs = workers[found->second].description->earliestLeaveMs;
+            outlivesWorker
+                = outlivesWorker || (workerLeavesMs != 0 && expectedEndMs > workerLeavesMs);
         }
+        if (outlivesWorker)
+            stopRun(run, "its worker leaves before the expected end of the run");
+        else if (memberEnded && !memberDone)
+            stopRun(run, "a member of its gang has ended");
     }
 }
 
 void plan_maker::addUnits(const job_state &job, std::vector<waiting_unit> *units) const
 {
-    const queue_policy *queue = input.config->findQueue(job.job.queue);
+    const queue_policy *queue = queueOf(job.job.queue);
     if (queue == nullptr)
         return;
     for (std::uint32_t occurrenceIndex = 0; occurrenceIndex < job.occurrences.size();
@@ -266,10 +299,8 @@
 std::vector<waiting_unit> plan_maker::waitingUnits() const
 {
     std::vector<waiting_unit> units;
-    for (const auto &[id, job] : input.state->jobs()) {
-        if (!job.isOver())
-            addUnits(job, &units);
-    }
+    for (const job_state *job : openJobs)
+        addUnits(*job, &units);
     std::stable_sort(units.begin(), units.end(), [](const waiting_unit &a, const waiting_unit &b) {
         // Urgent units go first, except late ones without a guarantee: these are worth less than
         // other work that is in time.
--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -39,9 +39,8 @@
 bool plan_maker::isSuitable(const waiting_unit &unit, const worker_availability &worker) const
 {
     const worker_description &description = *worker.description;
-    if (description.service != unit.queue->service || description.draining || worker.quarantined)
-        return false;
-    if (input.silent.contains(worker.agent) || input.state->isEvicted(worker.agent))
+    if (description.draining || worker.quarantined || worker.silent || worker.evicted
+        || description.service != unit.queue->service)
         return false;
     if (unit.state->failedOn.contains(worker.agent)
         && unit.state->failedOn.size() * 2 < workers.size())
@@ -66,29 +65,33 @@
     limit(available.memoryMb, need.memoryMb);
     limit(available.accelerators, need.accelerators);
     if (unit.step->maxPerWorker > 0) {
-        std::int64_t membersOnWorker = 0;
-        const auto &units = unit.job->occurrences[unit.id.occurrence].steps[unit.id.step].units;
-        for (const unit_state &other : units) {
-            if (!other.active)
-                continue;
-            for (const member_state &member : other.active->members)
-                membersOnWorker += member.member.agent == worker.agent && !member.end ? 1 : 0;
-        }
-        for (const plan_decision &decision : decisions) {
-            const auto *ordered = std::get_if<run_ordered>(&decision.record);
-            if (ordered == nullptr || ordered->unit.job != unit.id.job
-                || ordered->unit.step != unit.id.step
-                || ordered->unit.occurrence != unit.id.occurrence)
-                continue;
-            for (const run_member &member : ordered->members)
-                membersOnWorker += member.agent == worker.agent ? 1 : 0;
-        }
+        const auto index = static_cast<std::size_t>(&worker - workers.data());
+        const std::int64_t membersOnWorker = membersOfStep(unit)[index];
         count
             = std::min(count, std::max<std::int64_t>(0, unit.step->maxPerWorker - membersOnWorker));
     }
     return static_cast<std::uint32_t>(count);
 }
 
+std::vector<std::uint32_t> &plan_maker::membersOfStep(const waiting_unit &unit) const
+{
+    const step_state &step = unit.job->occurrences[unit.id.occurrence].steps[unit.id.step];
+    const auto [entry, added] = stepMembers.try_emplace(&step);
+    if (!added)
+        return entry->second;
+    entry->second.resize(workers.size());
+    for (const unit_state &other : step.units) {
+        if (!other.active)
+            continue;
+        for (const member_state &member : other.active->members) {
+            const auto found = workerIndexes.find(member.member.agent.str());
+            if (!member.end && found != workerIndexes.end())
+                ++entry->second[found->second];
+        }
+    }
+    return entry->second;
+}
+
 std::vector<std::size_t> plan_maker::fit(const waiting_unit &unit, const worker_filter &accept,
                                          const resource_measure &available) const
 {
@@ -128,48 +131,48 @@
     return chosen;
 }
 
-std::vector<std::string> plan_maker::candidateRacks(const waiting_unit &unit) const
+std::vector<std::size_t> plan_maker::candidateRacks(const waiting_unit &unit) const
 {
-    if (!unit.step->dataRack.empty())
-        return {unit.step->dataRack};
-    std::vector<std::string> racks;
-    for (const worker_availability &worker : workers) {
-        if (std::find(racks.begin(), racks.end(), worker.description->rack) == racks.end())
-            racks.push_back(worker.description->rack);
+    std::vector<std::size_t> candidates;
+    for (std::size_t rack = 0; rack < racks.size(); ++rack) {
+        if (unit.step->dataRack.empty() || unit.step->dataRack == racks[rack])
+            candidates.push_back(rack);
     }
-    return racks;
+    return candidates;
 }
 
-bool plan_maker::rackCouldHold(const waiting_unit &unit, const std::string &rack) const
+bool plan_maker::someRackCouldHold(const waiting_unit &unit) const
 {
-    std::uint32_t total = 0;
+    std::vector<std::uint32_t> total(racks.size(), 0);
+    const bool anyRack = unit.step->dataRack.empty();
     for (const worker_availability &worker : workers) {
-        if (worker.description->rack == rack && worker.description->service == unit.queue->service
-            && !worker.description->draining && !input.silent.contains(worker.agent))
-            total += capacityFor(unit, worker, worker.description->capacity);
+        if ((anyRack || worker.description->rack == unit.step->dataRack)
+            && worker.description->service == unit.queue->service && !worker.description->draining
+            && !worker.silent)
+            total[worker.rack] += capacityFor(unit, worker, worker.description->capacity);
     }
-    return total >= unit.members;
+    return std::any_of(total.begin(), total.end(),
+                       [&unit](std::uint32_t members) { return members >= unit.members; });
 }
 
 std::vector<std::size_t> plan_maker::fitInOneRack(const waiting_unit &unit,
                                                   const resource_measure &available) const
 {
+    std::vector<std::int64_t> freeInRack(racks.size(), 0);
+    for (const worker_availability &worker : workers)
+        freeInRack[worker.rack] += available(worker).accelerators;
     std::vector<std::size_t> best;
     std::int64_t fewestFree = std::numeric_limits<std::int64_t>::max();
-    for (const std::string &rack : candidateRacks(unit)) {
-        const auto inRack = [&rack](const worker_availability &worker) {
-            return worker.description->rack == rack;
-        };
-        const std::vector<std::size_t> chosen = fit(unit, inRack, available);
+    for (const std::size_t rack : candidateRacks(unit)) {
+        if (freeInRack[rack] >= fewestFree)
+            continue;
+        const std::vector<std::size_t> chosen = fit(
+            unit, [rack](const worker_availability &worker) { return worker.rack == rack; },
+            available);
         if (chosen.empty())
             continue;
-        std::int64_t freeInRack = 0;
-        for (const worker_availability &worker : workers)
-            freeInRack += inRack(worker) ? available(worker).accelerators : 0;
-        if (freeInRack < fewestFree) {
-            fewestFree = freeInRack;
-            best = chosen;
-        }
+        fewestFree = freeInRack[rack];
+        best = chosen;
     }
     return best;
 }
@@ -199,10 +202,9 @@
     if (claimed == claims.end())
         return chosen;
     for (const process_id &agent : claimed->second) {
-        for (std::size_t i = 0; i < workers.size(); ++i) {
-            if (workers[i].agent == agent && isSuitable(unit, workers[i]))
-                chosen.push_back(i);
-        }
+        const auto found = workerIndexes.find(agent.str());
+        if (found != workerIndexes.end() && isSuitable(unit, workers[found->second]))
+            chosen.push_back(found->second);
     }
     if (chosen.size() != unit.members)
         chosen.clear();
@@ -263,6 +265,11 @@
     for (const std::size_t worker : chosen)
         ordered.members.push_back(
             {index++, workers[worker].agent, workers[worker].description->workerStartMs});
+    if (unit.step->maxPerWorker > 0) {
+        std::vector<std::uint32_t> &members = membersOfStep(unit);
+        for (const std::size_t worker : chosen)
+            ++members[worker];
+    }
     reserve(unit, chosen);
     decisions.push_back({std::move(ordered), describe(unit)});
 }
@@ -271,8 +278,7 @@
 {
     std::int64_t available = 0;
     for (const worker_availability &worker : workers) {
-        if (!worker.description->draining && !worker.quarantined
-            && !input.silent.contains(worker.agent))
+        if (!worker.description->draining && !worker.quarantined && !worker.silent)
             available += std::max<std::int64_t>(0, worker.free.accelerators);
     }
     return available;
@@ -304,10 +310,41 @@
     return unit.lateness < 2 && leftMs >= 0 && leftMs < CrossRackStartWindowMs;
 }
 
+bool plan_maker::isKnownUnplaceable(const waiting_unit &unit) const
+{
+    if (unit.queue->priority == 0 || unit.members > 1 || !unit.state->failedOn.empty())
+        return false;
+    const batch_step &step = *unit.step;
+    return std::any_of(unplaced.begin(), unplaced.end(), [&](const unplaced_shape &other) {
+        if (other.step == &step)
+            return true;
+        const bool isPlain = !step.sameRack && step.dataRack.empty() && step.maxPerWorker == 0
+            && !step.usesIdleCpu;
+        const bool isOtherPlain = !other.step->sameRack && other.step->dataRack.empty()
+            && other.step->maxPerWorker == 0 && !other.step->usesIdleCpu;
+        return isPlain && isOtherPlain && step.item == other.step->item
+            && unit.queue->service == other.queue->service
+            && step.requiredLabel == other.step->requiredLabel;
+    });
+}
+
+void plan_maker::noteUnplaceable(const waiting_unit &unit)
+{
+    if (unit.queue->priority != 0 && unit.members == 1 && unit.state->failedOn.empty())
+        unplaced.push_back({unit.step, unit.queue});
+}
+
 void plan_maker::place(const waiting_unit &unit)
 {
-    if (unit.queue->needsAdvice)
-        return; // the entry refuses submissions to such queues
+    // The entry refuses submissions to queues with advice.
+    if (unit.queue->needsAdvice || isKnownUnplaceable(unit))
+        return;
+    if (!placeNow(unit))
+        noteUnplaceable(unit);
+}
+
+bool plan_maker::placeNow(const waiting_unit &unit)
+{
     const auto freeNow = [](const worker_availability &worker) { return worker.free; };
     const auto freeAfterStops = [](const worker_availability &worker) {
         resources sum = worker.free;
@@ -317,43 +354,40 @@
     const bool prefersRack = unit.step->sameRack || !unit.step->dataRack.empty();
     const bool urgent = unit.queue->priority == 0;
     if (urgent && useClaim(unit))
-        return;
+        return true;
     if (!urgent && !leavesHeadroom(unit)) {
         reserveForGang(unit);
-        return;
+        return false;
     }
     if (prefersRack) {
         const std::vector<std::size_t> chosenInRack = fitInOneRack(unit, freeNow);
         if (!chosenInRack.empty()) {
             orderRun(unit, chosenInRack);
-            return;
+            return true;
         }
-        const std::vector<std::string> racks = candidateRacks(unit);
-        const bool someRackHoldsUnit
-            = std::any_of(racks.begin(), racks.end(),
-                          [&](const std::string &rack) { return rackCouldHold(unit, rack); });
+        const bool someRackHoldsUnit = someRackCouldHold(unit);
         if (someRackHoldsUnit && urgent && preempt(unit))
-            return;
+            return true;
         if (someRackHoldsUnit && !unit.guaranteed && !shouldSpanRacks(unit)) {
             if (!urgent)
                 reserveForGang(unit);
-            return;
+            return false;
         }
     }
     const std::vector<std::size_t> chosen = fit(unit, anywhere, freeNow);
     if (!chosen.empty()) {
         orderRun(unit, chosen);
-        return;
+        return true;
     }
     if (!urgent) {
         reserveForGang(unit);
-        return;
+        return false;
     }
     const std::vector<std::size_t> chosenAfterStops = fit(unit, anywhere, freeAfterStops);
-    if (!chosenAfterStops.empty())
-        claim(unit, chosenAfterStops);
-    else
-        preempt(unit);
+    if (chosenAfterStops.empty())
+        return preempt(unit);
+    claim(unit, chosenAfterStops);
+    return true;
 }
 
 void plan_maker::reserveForGang(const waiting_unit &unit)
@@ -362,21 +396,20 @@
         return;
     const auto wholeCapacity
         = [](const worker_availability &worker) { return worker.description->capacity; };
+    std::vector<std::int64_t> freeInRack(racks.size(), 0);
+    for (const worker_availability &worker : workers)
+        freeInRack[worker.rack] += worker.free.accelerators;
     std::vector<std::size_t> best;
     std::int64_t mostFree = std::numeric_limits<std::int64_t>::min();
-    for (const std::string &rack : candidateRacks(unit)) {
-        std::int64_t rackFree = 0;
-        for (const worker_availability &worker : workers)
-            rackFree += worker.description->rack == rack ? worker.free.accelerators : 0;
-        if (rackFree <= mostFree)
+    for (const std::size_t rack : candidateRacks(unit)) {
+        if (freeInRack[rack] <= mostFree)
             continue;
         std::vector<std::size_t> chosen = fit(
-            unit,
-            [&rack](const worker_availability &worker) { return worker.description->rack == rack; },
+            unit, [rack](const worker_availability &worker) { return worker.rack == rack; },
             wholeCapacity);
         if (chosen.empty())
             continue;
-        mostFree = rackFree;
+        mostFree = freeInRack[rack];
         best = std::move(chosen);
     }
     if (best.empty())
@@ -390,9 +423,10 @@
     std::int64_t demand = 0;
     std::int64_t count = 0;
     for (const auto &[id, job] : input.state->jobs()) {
-        const queue_policy *queue = input.config->findQueue(job.job.queue);
-        if (queue == nullptr || queue->priority != 0
-            || input.nowMs - job.job.submittedMs > HeadroomWindowMs)
+        if (input.nowMs - job.job.submittedMs > HeadroomWindowMs)
+            continue;
+        const queue_policy *queue = queueOf(job.job.queue);
+        if (queue == nullptr || queue->priority != 0)
             continue;
         ++count;
         demand += job.job.steps.front().item.accelerators * job.job.steps.front().count;
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -3,8 +3,11 @@
 
 #include "hyssoppond/batch/batch_scheduler_base.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hyssoppond::batch {
@@ -25,6 +28,38 @@
     std::int64_t headroom = 0;
     std::uint32_t reservations = 0; ///< gangs for which capacity is reserved in this plan
 
+    /// Active run of an item or a gang.
+    struct active_run
+    {
+        const job_state *job = nullptr;
+        const unit_id *unit = nullptr;
+        const run_state *state = nullptr;
+        resources item; ///< resources of each member
+    };
+    std::vector<const job_state *> openJobs = {};
+    std::vector<active_run> runs = {};
+    std::vector<std::string> racks = {}; ///< of the workers
+    /// Indexes in `workers`, by agent.
+    absl::flat_hash_map<std::string_view, std::size_t> workerIndexes = {};
+    /// Accelerators that the urgent runs of each team use.
+    absl::flat_hash_map<std::string_view, std::int64_t> urgentUse = {};
+
+    /// Units that no worker takes now, as their resources and limits are the same as those of one
+    /// that did not fit.
+    struct unplaced_shape
+    {
+        const batch_step *step = nullptr;
+        const queue_policy *queue = nullptr;
+    };
+
+    std::vector<unplaced_shape> unplaced = {};
+    /// Queues that were looked up, by name; see queueOf().
+    mutable absl::flat_hash_map<std::string_view, const queue_policy *> knownQueues = {};
+    /// See membersOfStep().
+    mutable absl::flat_hash_map<const step_state *, std::vector<std::uint32_t>> stepMembers = {};
+
+    /// Collects the open jobs and the active runs.
+    void collectJobs();
     /// Fills `workers` with the announced workers, their free and their soon freed resources.
     void collectWorkers(const batch_scheduler &scheduler);
     /// Stops runs of which a member ended while none was done, and runs that are expected to end
@@ -46,6 +81,16 @@
     using resource_measure = std::function<resources(const worker_availability &)>;
 
     void addUnits(const job_state &job, std::vector<waiting_unit> *units) const;
+    /// Policy of the queue `name`; null if the configuration has none. A configuration may hold
+    /// thousands of queues, so those of the jobs are looked up once.
+    const queue_policy *queueOf(const std::string &name) const;
+    /// True for an item that is not urgent if one like it found no place in this plan. What is free
+    /// does not grow while the plan is made.
+    bool isKnownUnplaceable(const waiting_unit &unit) const;
+    void noteUnplaceable(const waiting_unit &unit);
+    /// Members of the unit's step on each worker, for steps with a limit of them.
+    std::vector<std::uint32_t> &membersOfStep(const waiting_unit &unit) const;
+    bool placeNow(const waiting_unit &unit);
     bool isSuitable(const waiting_unit &unit, const worker_availability &worker) const;
     /// Members of `unit` that `available` on `worker` is enough for, at most the members of the
     /// unit.
@@ -59,10 +104,10 @@
     /// As fit(), with all members in one rack: the one that has the fewest accelerators available.
     std::vector<std::size_t> fitInOneRack(const waiting_unit &unit,
                                           const resource_measure &available) const;
-    /// The rack of the unit's data, or all racks if its data are in none.
-    std::vector<std::string> candidateRacks(const waiting_unit &unit) const;
-    /// True if all members would fit in `rack` if nothing ran there.
-    bool rackCouldHold(const waiting_unit &unit, const std::string &rack) const;
+    /// The rack of the unit's data, or all racks if its data are in none; indexes in `racks`.
+    std::vector<std::size_t> candidateRacks(const waiting_unit &unit) const;
+    /// True if all members would fit in one of the racks if nothing ran there.
+    bool someRackCouldHold(const waiting_unit &unit) const;
     void orderRun(const waiting_unit &unit, const std::vector<std::size_t> &chosen);
     /// True if a unit that runs faster within one rack is better started across racks than left
     /// waiting.
@@ -91,15 +136,30 @@
 
     struct victim
     {
-        unit_id unit;
-        double cost = 0; ///< core-seconds, see preemptionCost()
+        std::size_t run = 0; ///< index in `runs`
+        resources here;      ///< resources of its members on the worker
+        double cost = 0;     ///< core-seconds, see preemptionCost()
     };
-    struct preemption_plan
+    /// Cheapest way to make room for one more member on one worker.
+    struct preemption_option
     {
-        std::vector<std::size_t> chosen; ///< indexes in `workers`, one for each member
-        std::set<unit_id> victims;
+        std::size_t worker = 0;
+        resources available;
+        std::vector<victim> victims; ///< runs that may be stopped there, the cheapest first
+        std::uint32_t placed = 0;    ///< members of the unit that are placed there
+        std::uint32_t limit = 0;     ///< most members of the unit there
+        bool isCurrent = false;      ///< the following fields are up to date
+        bool isFeasible = false;
+        std::vector<victim> stops;
         double cost = 0; ///< core-seconds
     };
+    struct preemption_plan
+    {
+        std::vector<std::size_t> chosen;  ///< indexes in `workers`, one for each member
+        std::vector<std::size_t> victims; ///< indexes in `runs`
+        double cost = 0;                  ///< core-seconds
+        bool isTooCostly = false;         ///< given up at the highest cost
+    };
 
     /// True if the urgent runs of the unit's team stay within its guarantee when the unit starts.
     bool isGuaranteed(const waiting_unit &unit) const;
@@ -110,16 +170,20 @@
     std::vector<victim> victimsOn(const waiting_unit &unit,
                                   const worker_availability &worker) const;
     /// Workers for all members of `unit` and the runs to stop there, chosen greedily by cost; empty
-    /// if not enough can be preempted.
-    preemption_plan planPreemption(const waiting_unit &unit, const worker_filter &accept) const;
-    /// Cost of stopping the active run of `unit`, in core-seconds.
-    double preemptionCost(const unit_id &unit) const;
+    /// if not enough can be preempted for at most `maxCost` core-seconds.
+    preemption_plan planPreemption(const waiting_unit &unit, const worker_filter &accept,
+                                   double maxCost) const;
+    /// Finds the cheapest stops for one more member; runs in `stoppedRuns` are free already.
+    void evaluate(preemption_option *option, const waiting_unit &unit,
+                  const std::vector<bool> &stoppedRuns) const;
+    /// Cost of stopping a run, in core-seconds.
+    double preemptionCost(const active_run &run) const;
     /// True if runs of the job `victimJob` may be stopped for `unit`.
     bool mayPreempt(const waiting_unit &unit, const job_state &victimJob) const;
     /// Accelerators that the team's urgent runs use.
     std::int64_t urgentAccelerators(const team_id &team) const;
-    /// Decides to stop the active run of `unit`; without effect if this plan stops it already.
-    void stopRun(const unit_id &unit, std::string why);
+    /// Decides to stop a run; without effect if this plan stops it already.
+    void stopRun(const active_run &run, std::string why);
 };
 
 } // namespace hyssoppond::batch
--- a/src/batch/plan_preempt.cpp
+++ b/src/batch/plan_preempt.cpp
@@ -39,39 +39,29 @@
 
 } // namespace
 
-double plan_maker::preemptionCost(const unit_id &unit) const
+double plan_maker::preemptionCost(const active_run &run) const
 {
-    const job_state &job = *input.state->find(unit.job);
-    const batch_step &step = job.job.steps[unit.step];
-    const run_state &run = *input.state->findUnit(unit)->active;
-    const double elapsedSeconds = static_cast<double>(input.nowMs - run.orderedMs) / 1000.0;
+    const batch_step &step = run.job->job.steps[run.unit->step];
+    const double elapsedSeconds = static_cast<double>(input.nowMs - run.state->orderedMs) / 1000.0;
     const double lostSeconds
         = step.checkpointed ? std::min(elapsedSeconds, CheckpointLossSeconds) : elapsedSeconds;
-    const queue_policy *queue = input.config->findQueue(job.job.queue);
+    const queue_policy *queue = queueOf(run.job->job.queue);
     const double urgentPenalty
         = queue != nullptr && queue->priority == 0 ? UrgentVictimCoreSeconds : 0.0;
     return std::max(lostSeconds, MinLossSeconds) * weightOf(step.item)
-        * static_cast<double>(run.members.size())
+        * static_cast<double>(run.state->members.size())
         + urgentPenalty;
 }
 
 std::int64_t plan_maker::urgentAccelerators(const team_id &team) const
 {
-    std::int64_t used = 0;
-    for (const auto &[id, job] : input.state->jobs()) {
-        const queue_policy *queue = input.config->findQueue(job.job.queue);
-        if (job.job.team != team || queue == nullptr || queue->priority != 0)
-            continue;
-        for (const unit_id &unit : job.activeUnits)
-            used += job.job.steps[unit.step].item.accelerators
-                * static_cast<std::int64_t>(input.state->findUnit(unit)->active->members.size());
-    }
-    return used;
+    const auto found = urgentUse.find(team.str());
+    return found == urgentUse.end() ? 0 : found->second;
 }
 
 bool plan_maker::mayPreempt(const waiting_unit &unit, const job_state &victimJob) const
 {
-    const queue_policy *queue = input.config->findQueue(victimJob.job.queue);
+    const queue_policy *queue = queueOf(victimJob.job.queue);
     if (queue == nullptr || queue->priority > 0)
         return true;
     // Urgent work of a team that exceeds its guarantee may be stopped for urgent work of another
@@ -101,95 +91,109 @@
                                                       const worker_availability &worker) const
 {
     std::vector<victim> victims;
-    for (const unit_id &id : input.state->runsOn(worker.agent)) {
-        const job_state &job = *input.state->find(id.job);
-        const run_state &run = *input.state->findUnit(id)->active;
-        if (run.stopping || job.isOver() || stopped.contains(id) || !mayPreempt(unit, job))
+    for (const auto &[index, members] : worker.runs) {
+        const active_run &run = runs[index];
+        if (run.state->stopping || run.job->isOver() || stopped.contains(*run.unit)
+            || !mayPreempt(unit, *run.job))
             continue;
-        victims.push_back({id, preemptionCost(id)});
+        resources here;
+        for (std::uint32_t i = 0; i < members; ++i)
+            here += run.item;
+        victims.push_back({index, here, preemptionCost(run)});
     }
-    std::sort(victims.begin(), victims.end(),
-              [](const victim &a, const victim &b) { return a.cost < b.cost; });
+    std::stable_sort(victims.begin(), victims.end(),
+                     [](const victim &a, const victim &b) { return a.cost < b.cost; });
     return victims;
 }
 
+void plan_maker::evaluate(preemption_option *option, const waiting_unit &unit,
+                          const std::vector<bool> &stoppedRuns) const
+{
+    const resources &need = unit.step->item;
+    resources trial = option->available;
+    option->isCurrent = true;
+    option->stops.clear();
+    option->cost = 0;
+    for (const victim &candidate : option->victims) {
+        if (fits(trial, need))
+            break;
+        if (stoppedRuns[candidate.run])
+            continue;
+        trial += candidate.here;
+        option->stops.push_back(candidate);
+        option->cost += candidate.cost;
+    }
+    // Victims are added from the cheapest on. A later, larger candidate can free so much that some
+    // of the earlier ones need not be stopped.
+    for (std::size_t i = option->stops.size(); i-- > 0;) {
+        resources withoutStop = trial;
+        withoutStop -= option->stops[i].here;
+        if (!fits(withoutStop, need))
+            continue;
+        trial = withoutStop;
+        option->cost -= option->stops[i].cost;
+        option->stops.erase(option->stops.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+    option->isFeasible = fits(trial, need);
+}
+
 plan_maker::preemption_plan plan_maker::planPreemption(const waiting_unit &unit,
-                                                       const worker_filter &accept) const
+                                                       const worker_filter &accept,
+                                                       double maxCost) const
 {
     preemption_plan result;
-    std::vector<resources> available(workers.size());
-    std::vector<std::uint32_t> placed(workers.size(), 0);
+    std::vector<preemption_option> options;
+    std::vector<std::size_t> optionOf(workers.size(), workers.size());
     for (std::size_t i = 0; i < workers.size(); ++i) {
-        available[i] = workers[i].free;
-        available[i] += workers[i].releasing;
+        if (!isSuitable(unit, workers[i]) || !accept(workers[i]))
+            continue;
+        preemption_option option;
+        option.worker = i;
+        option.available = workers[i].free;
+        option.available += workers[i].releasing;
+        option.victims = victimsOn(unit, workers[i]);
+        option.limit = unit.step->maxPerWorker == 0
+            ? unit.members
+            : capacityFor(unit, workers[i], workers[i].description->capacity);
+        optionOf[i] = options.size();
+        options.push_back(std::move(option));
     }
-    // Calls `change` with the index of the worker and the resources of each member that still runs.
-    const auto eachMember = [&](const unit_id &id, const auto &change) {
-        const resources need = input.state->find(id.job)->job.steps[id.step].item;
-        for (const member_state &member : input.state->findUnit(id)->active->members) {
-            for (std::size_t i = 0; i < workers.size(); ++i) {
-                if (workers[i].agent == member.member.agent && !member.end)
-                    change(i, need);
-            }
-        }
-    };
-    const auto release = [&](const unit_id &id, std::vector<resources> *remaining) {
-        eachMember(id,
-                   [remaining](std::size_t i, const resources &need) { (*remaining)[i] += need; });
-    };
-    const auto occupy = [&](const unit_id &id, std::vector<resources> *remaining) {
-        eachMember(id,
-                   [remaining](std::size_t i, const resources &need) { (*remaining)[i] -= need; });
-    };
+    std::vector<bool> stoppedRuns(runs.size(), false);
     while (result.chosen.size() < unit.members) {
-        std::size_t bestWorker = workers.size();
-        double bestCost = std::numeric_limits<double>::max();
-        std::vector<unit_id> bestVictims;
-        for (std::size_t i = 0; i < workers.size(); ++i) {
-            if (!isSuitable(unit, workers[i]) || !accept(workers[i]))
+        preemption_option *best = nullptr;
+        for (preemption_option &option : options) {
+            if (option.placed >= option.limit)
                 continue;
-            if (unit.step->maxPerWorker > 0
-                && capacityFor(unit, workers[i], workers[i].description->capacity) <= placed[i])
-                continue;
-            std::vector<resources> trial = available;
-            std::vector<unit_id> workerVictims;
-            double cost = 0;
-            for (const victim &candidate : victimsOn(unit, workers[i])) {
-                if (fits(trial[i], unit.step->item))
-                    break;
-                if (result.victims.contains(candidate.unit))
-                    continue;
-                release(candidate.unit, &trial);
-                workerVictims.push_back(candidate.unit);
-                cost += candidate.cost;
-            }
-            // Victims are added from the cheapest on. A later, larger candidate can free so much
-            // that some of the earlier ones need not be stopped.
-            for (std::size_t v = workerVictims.size(); v-- > 0;) {
-                std::vector<resources> trialKeepingVictim = trial;
-                occupy(workerVictims[v], &trialKeepingVictim);
-                if (!fits(trialKeepingVictim[i], unit.step->item))
-                    continue;
-                trial = std::move(trialKeepingVictim);
-                cost -= preemptionCost(workerVictims[v]);
-                workerVictims.erase(workerVictims.begin() + static_cast<std::ptrdiff_t>(v));
-            }
-            if (fits(trial[i], unit.step->item) && cost < bestCost) {
-                bestWorker = i;
-                bestCost = cost;
-                bestVictims = workerVictims;
-            }
+            if (!option.isCurrent)
+                evaluate(&option, unit, stoppedRuns);
+            if (option.isFeasible && (best == nullptr || option.cost < best->cost))
+                best = &option;
         }
-        if (bestWorker == workers.size())
+        if (best == nullptr)
             return {};
-        for (const unit_id &id : bestVictims) {
-            release(id, &available);
-            result.victims.insert(id);
+        result.cost += best->cost;
+        if (result.cost > maxCost) {
+            result.isTooCostly = true;
+            result.chosen.clear();
+            return result;
         }
-        result.cost += bestCost;
-        available[bestWorker] -= unit.step->item;
-        ++placed[bestWorker];
-        result.chosen.push_back(bestWorker);
+        best->isCurrent = false;
+        for (const victim &stop : best->stops) {
+            stoppedRuns[stop.run] = true;
+            result.victims.push_back(stop.run);
+            for (const member_state &member : runs[stop.run].state->members) {
+                const auto found = workerIndexes.find(member.member.agent.str());
+                if (member.end || found == workerIndexes.end()
+                    || optionOf[found->second] == workers.size())
+                    continue;
+                preemption_option &option = options[optionOf[found->second]];
+                option.available += runs[stop.run].item;
+                option.isCurrent = false;
+            }
+        }
+        best->available -= unit.step->item;
+        ++best->placed;
+        result.chosen.push_back(best->worker);
     }
     return result;
 }
@@ -198,32 +202,36 @@
 {
     if (unit.lateness > 0 && !unit.guaranteed)
         return false; // it can no longer end in time, so stopping other work gains nothing
+    double maxCost = std::numeric_limits<double>::max();
+    if (!mustReclaim(unit)) {
+        const std::int64_t leftMs = unit.latestStartMs - input.nowMs;
+        const double workCoreSeconds = static_cast<double>(unit.expectedMs) / 1000.0
+            * weightOf(unit.step->item) * static_cast<double>(unit.members);
+        // Other runs may end on their own in time.
+        const bool mayWait = leftMs > absl::ToInt64Milliseconds(options.stopTime + PreemptionLead);
+        maxCost = mayWait ? NegligibleCoreSeconds
+                          : PreemptionBaseCoreSeconds + PreemptionWorkRatio * workCoreSeconds;
+    }
     preemption_plan best;
+    bool isTooCostly = false;
     if (unit.step->sameRack || !unit.step->dataRack.empty()) {
-        for (const std::string &rack : candidateRacks(unit)) {
-            preemption_plan rackPlan
-                = planPreemption(unit, [&rack](const worker_availability &worker) {
-                      return worker.description->rack == rack;
-                  });
+        for (const std::size_t rack : candidateRacks(unit)) {
+            preemption_plan rackPlan = planPreemption(
+                unit, [rack](const worker_availability &worker) { return worker.rack == rack; },
+                maxCost);
+            isTooCostly = isTooCostly || rackPlan.isTooCostly;
             if (!rackPlan.chosen.empty() && (best.chosen.empty() || rackPlan.cost < best.cost))
                 best = std::move(rackPlan);
         }
     }
-    if (best.chosen.empty() && !(unit.step->sameRack && unit.lateness == 0))
-        best = planPreemption(unit, [](const worker_availability &) { return true; });
+    if (best.chosen.empty() && !isTooCostly && !(unit.step->sameRack && unit.lateness == 0))
+        best = planPreemption(
+            unit, [](const worker_availability &) { return true; }, maxCost);
     if (best.chosen.empty())
         return false;
-    const std::int64_t leftMs = unit.latestStartMs - input.nowMs;
-    if (!mustReclaim(unit) && best.cost > NegligibleCoreSeconds
-        && leftMs > absl::ToInt64Milliseconds(options.stopTime + PreemptionLead))
-        return false; // other runs may end on their own in time
-    const double workCoreSeconds = static_cast<double>(unit.expectedMs) / 1000.0
-        * weightOf(unit.step->item) * static_cast<double>(unit.members);
-    if (!mustReclaim(unit)
-        && best.cost > PreemptionBaseCoreSeconds + PreemptionWorkRatio * workCoreSeconds)
-        return false;
-    for (const unit_id &victim : best.victims)
-        stopRun(victim, absl::StrCat("preempted for ", toString(unit.id), ", ", describe(unit)));
+    for (const std::size_t victim : best.victims)
+        stopRun(runs[victim],
+                absl::StrCat("preempted for ", toString(unit.id), ", ", describe(unit)));
     claim(unit, best.chosen);
     return true;
 }
