Peers are asked later where the store is slow for all

A store that answered in 304 ms instead of 4 got nearly every call twice, as a peer was asked after 300 ms, and so went over its rate limits. The delay is now twice the time that the store took lately, from 300 to 700 ms. Test: slowStoreGetsFewCallsThroughPeers failed before (more than 60 calls for 50).

--- a/include/hyssoppond/batch/store_relay_base.h
+++ b/include/hyssoppond/batch/store_relay_base.h
@@ -54,8 +54,9 @@
         std::function<void(read_answer)> onRead;       ///< set for a read
         bool directPending = false;
         bool relayPending = false;
-        bool mayHaveRun = false;       ///< a try got no answer
-        unsigned peerTries = 0;        ///< number of peers that were asked
+        bool mayHaveRun = false; ///< a try got no answer
+        unsigned peerTries = 0;  ///< number of peers that were asked
+        absl::Time sentAt;
         absl::Time relayAt;            ///< next try by a peer
         std::uint64_t expectedEnd = 0; ///< of the topic of a read, when the read was sent
         absl::Time deadline;
@@ -65,6 +66,10 @@
     void start(operation op);
     void sendDirect(std::uint64_t id, const operation &op);
     void tryPeer(std::uint64_t id);
+    /// Time after which a peer is asked too.
+    absl::Duration hedgeDelay() const;
+    /// Notes how long the store took to answer a direct call, without the wait of a read.
+    void noteAnswerTime(absl::Duration time);
     void onDirectOutcome(std::uint64_t id, store_outcome outcome);
     void onRelayOutcome(std::uint64_t id, store_outcome outcome);
     /// Ends the call as Unknown or Refused if neither the store nor a peer may still answer it.
@@ -85,6 +90,7 @@
     std::map<std::string, std::uint64_t> m_expectedEnds; ///< by topic, as peers reported
     std::uint64_t m_nextId;
     bool m_directUnreachable = false;
+    absl::Duration m_answerTime; ///< of the store lately, see noteAnswerTime()
     absl::Time m_probeAt = absl::InfinitePast();
     std::size_t m_serving = 0; ///< calls of peers that the store has not answered
     std::uint64_t m_relayed = 0;
--- a/src/batch/store_relay.cpp
+++ b/src/batch/store_relay.cpp
@@ -7,8 +7,16 @@
 
 namespace {
 
-/// A peer is asked too after this time. The store answers within 4 ms, or 240 ms where it is slow.
+/// A peer is asked too after this time or, where the store is slow for all, after a multiple of the
+/// time that it took lately. The store answers within 4 ms, or 300 ms where it is slow.
 constexpr absl::Duration HedgeDelay = absl::Milliseconds(300);
+constexpr double HedgeDelayFactor = 2.0;
+
+/// Longest such time, so that a peer can still answer before the deadlines of the calls, about 1 s.
+constexpr absl::Duration MaxHedgeDelay = absl::Milliseconds(700);
+
+/// Share by which the time that the store took lately approaches that of a faster answer.
+constexpr double AnswerTimeDecay = 0.1;
 
 /// A read whose records are known to exist is overdue after this time; covers a slow network.
 constexpr absl::Duration ExpectedRecordDelay = absl::Milliseconds(120);
@@ -126,7 +134,8 @@
     const bool direct = !m_directUnreachable || now >= m_probeAt || noPeers;
     if (m_directUnreachable && direct)
         m_probeAt = now + ProbeInterval;
-    op.relayAt = m_directUnreachable ? now : now + op.read.wait + HedgeDelay;
+    op.sentAt = now;
+    op.relayAt = m_directUnreachable ? now : now + op.read.wait + hedgeDelay();
     if (op.onRead)
         op.expectedEnd = m_expectedEnds[op.read.topic];
     if (op.read.from < op.expectedEnd)
@@ -144,9 +153,11 @@
 void store_relay::sendDirect(std::uint64_t id, const operation &op)
 {
     if (op.onAppended) {
-        m_direct->append(op.append, [this, id](const append_answer &answer) {
-            if (isSettled(answer.outcome))
+        m_direct->append(op.append, [this, id, sentAt = op.sentAt](const append_answer &answer) {
+            if (isSettled(answer.outcome)) {
+                noteAnswerTime(m_hooks.now() - sentAt);
                 setDirectUnreachable(false);
+            }
             if (isSettled(answer.outcome) && m_operations.contains(id))
                 finish(id, answer, {});
             else
@@ -154,18 +165,33 @@
         });
         return;
     }
-    m_direct->read(
-        op.read,
-        [this, id, topic = op.read.topic, expectedEnd = op.expectedEnd](read_answer answer) {
-            if (isSettled(answer.outcome))
-                setDirectUnreachable(false);
-            if (answer.outcome == store_outcome::Ok && answer.end < expectedEnd)
-                forgetExpectation(topic, expectedEnd, answer.end);
-            if (isSettled(answer.outcome) && m_operations.contains(id))
-                finish(id, {}, std::move(answer));
-            else
-                onDirectOutcome(id, answer.outcome);
-        });
+    m_direct->read(op.read,
+                   [this, id, topic = op.read.topic, expectedEnd = op.expectedEnd,
+                    wait = op.read.wait, sentAt = op.sentAt](read_answer answer) {
+                       if (isSettled(answer.outcome)) {
+                           // With records, the store may have answered at any time of the wait.
+                           if (answer.records.empty() || wait == absl::ZeroDuration())
+                               noteAnswerTime(m_hooks.now() - sentAt - wait);
+                           setDirectUnreachable(false);
+                       }
+                       if (answer.outcome == store_outcome::Ok && answer.end < expectedEnd)
+                           forgetExpectation(topic, expectedEnd, answer.end);
+                       if (isSettled(answer.outcome) && m_operations.contains(id))
+                           finish(id, {}, std::move(answer));
+                       else
+                           onDirectOutcome(id, answer.outcome);
+                   });
+}
+
+absl::Duration store_relay::hedgeDelay() const
+{
+    return std::clamp(m_answerTime * HedgeDelayFactor, HedgeDelay, MaxHedgeDelay);
+}
+
+void store_relay::noteAnswerTime(absl::Duration time)
+{
+    m_answerTime
+        = time > m_answerTime ? time : m_answerTime + (time - m_answerTime) * AnswerTimeDecay;
 }
 
 void store_relay::onDirectOutcome(std::uint64_t id, store_outcome outcome)
--- a/tests/batch_store_test.cpp
+++ b/tests/batch_store_test.cpp
@@ -142,5 +142,41 @@
     EXPECT_EQ(std::get<relayed_read_reply>(replies.front()).answer.outcome, store_outcome::Ok);
 }
 
+// Guards against a store that gets every call twice, and so stays over its rate limits, because it
+// is slow for all: 76 times its usual 4 ms.
+TEST_F(batch_store_test, slowStoreGetsFewCallsThroughPeers)
+{
+    store_port direct = m_store.portOf("own", std::make_shared<bool>(true));
+    store_port peerDirect = m_store.portOf("peer", std::make_shared<bool>(true));
+    store_relay own("own", &direct, m_hooks);
+    store_relay peer("peer", &peerDirect, m_hooks);
+    own.peers = [] { return std::vector<std::string> {"peer"}; };
+    own.send = [&](const std::string &, const std::string &message) {
+        peer.receive(*decodePeerMessage(message));
+    };
+    peer.send = [&](const std::string &, const std::string &message) {
+        own.receive(*decodePeerMessage(message));
+    };
+    const absl::Duration slow = absl::Milliseconds(76 * 4);
+    m_store.faults["own"].answerDelay = slow;
+    m_store.faults["peer"].answerDelay = slow;
+    constexpr std::size_t Calls = 50;
+    std::size_t answered = 0;
+    store_port port = own.port();
+    for (std::size_t i = 0; i < Calls; ++i) {
+        append_request request = stampedAppend();
+        request.producer->sequence = i + 1;
+        port.append(request, [&](const append_answer &answer) {
+            answered += answer.outcome == store_outcome::Ok ? 1 : 0;
+        });
+        for (int tick = 0; tick < 50; ++tick) {
+            own.tick();
+            m_clock.runFor(absl::Milliseconds(10));
+        }
+    }
+    EXPECT_EQ(answered, Calls);
+    EXPECT_LE(m_store.calls, Calls + Calls / 5) << "a fifth more than the calls themselves";
+}
+
 } // namespace
 } // namespace hyssoppond::batch
