A decider that is well keeps deciding while its partition moves

The group moves the partition when one join is late and back at the next one, and the new holder always took the grant. Of 55 entries, 37 have 0.12 of a core, and one of them decided.

The holder now asks the present decider by datagram and takes over only without an answer for 150 ms, or when that one does not decide any more.

--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -4,6 +4,7 @@
 #include "hyssoppond/batch/batch_scheduler_base.h"
 #include "hyssoppond/batch/log_follower_base.h"
 #include "hyssoppond/batch/log_writer_base.h"
+#include "hyssoppond/batch/peer_message_type.h"
 
 #include <map>
 #include <memory>
@@ -19,12 +20,17 @@
     std::string heartbeatTopic = HeartbeatTopic;
     std::string group = "decider";
     std::string producer = "decider";
+    std::string address; ///< HOST:PORT at which the entry takes messages of its peers; empty: none
+    /// The entry has little processor time, and decides only while no other one does.
+    bool isReserve = false;
     scheduler_options scheduler;
 };
 
 /// State machine without I/O. The entry that holds partition 0 of the journal in the group decides.
 /// The partition is only a hint, and two entries may hold it for a short time. Safety comes from
-/// the epoch of the producer, by which the store refuses the appends of earlier deciders.
+/// the epoch of the producer, by which the store refuses the appends of earlier deciders. The
+/// holder asks the present decider first, and takes over only if that one does not answer in time
+/// or does not decide any more: the store may move the partition although the decider is well.
 class batch_decider
 {
 public:
@@ -38,6 +44,9 @@
     /// To be called when an eviction or its end is read from the journal, also while another entry
     /// decides.
     void onEviction(const agent_evicted &record);
+    /// Handles the query of a peer and its answer to ours.
+    void onQuery(const decider_query &query);
+    void onAnswer(const decider_answer &answer);
     /// To be called before the journal is reloaded from the newest record of each key.
     void onReloading()
     {
@@ -90,6 +99,17 @@
                      const std::string &detail) const;
     void join();
     void onJoined(const join_answer &answer);
+    /// True if this entry has to be a member of the group.
+    bool takesPart();
+    /// Takes the grant, or asks the present decider first.
+    void considerTakeover();
+    void sendQuery();
+    /// HOST:PORT of the present decider; empty if there is none to ask.
+    std::string deciderAddress() const;
+    /// True if this entry decides and its state is recent.
+    bool isAbleToDecide() const;
+    /// True if the state is too old to decide on it.
+    bool isBehind() const;
     void takeGrant();
     void stepDown(const char *why);
     void startDeciding();
@@ -123,6 +143,11 @@
     bool m_joinOnFreshConnection = false;
     std::uint64_t m_generation = 0;
     absl::Time m_nextJoinAt = absl::InfinitePast();
+    /// When the grant is taken unless the present decider answers.
+    absl::Time m_takeOverAt = absl::InfiniteFuture();
+    absl::Time m_nextQueryAt = absl::InfiniteFuture();
+    /// When this entry last knew of a decider, or began to look for one.
+    absl::Time m_deciderSeenAt = absl::InfinitePast();
     epoch_number m_epoch = 0;
     std::uint64_t m_grantOffset = 0;
     std::unique_ptr<log_writer> m_writer;
@@ -134,6 +159,7 @@
     bool m_planDue = false;
     std::uint64_t m_jobsOver = 0; ///< batch_state::jobsOver() when the entries were last woken
     absl::Time m_nextPlanAt = absl::InfiniteFuture();
+    absl::Time m_planAllowedAt = absl::InfinitePast(); ///< a pause after the last plan is over
 
     bool m_readingHeartbeats = false;
     bool m_readOnFreshConnection = false;
--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -13,7 +13,8 @@
 {
     process_id entry;
     incarnation_number incarnation = 0;
-    std::string wakeAddress; ///< HOST:PORT that takes wake-up messages; empty: none
+    std::string wakeAddress; ///< HOST:PORT that takes messages of peers; empty: none
+    bool isReserve = false;  ///< see decider_options::isReserve
     std::string journalTopic = JournalTopic;
     std::string configTopic;
     /// How long the keys of the teams stay valid without a read that confirms the configuration.
@@ -83,6 +84,8 @@
 
     /// Reads the journal at once, as the decider has seen that a job has ended.
     void onWake() { m_journal.wake(); }
+    /// Handles a message of a peer. Those of the relay have no effect here.
+    void receive(const peer_message &message);
 
     /// Calls `respond` once, at once or when the store has answered.
     void handle(job_call call, const responder &respond);
--- a/include/hyssoppond/batch/peer_message_type.h
+++ b/include/hyssoppond/batch/peer_message_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "hyssoppond/base/error_type.h"
+#include "hyssoppond/base/id_type.h"
 #include "hyssoppond/batch/store_port.h"
 
 #include <cstdint>
@@ -80,8 +81,33 @@
     }
 };
 
+/// Asks an entry whether it decides.
+struct decider_query
+{
+    std::string replyTo;    ///< HOST:PORT
+    bool isReserve = false; ///< see decider_options::isReserve
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(replyTo, isReserve);
+    }
+};
+
+/// Answers a decider_query.
+struct decider_answer
+{
+    process_id entry;
+    epoch_number epoch
+        = 0; ///< of its grant; 0 if it does not decide or another entry may take over
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(entry, epoch);
+    }
+};
+
 using peer_message = std::variant<wake_message, relayed_append, relayed_read, relayed_append_reply,
-                                  relayed_read_reply>;
+                                  relayed_read_reply, decider_query, decider_answer>;
 
 /// Largest encoded message; the platform's largest submissions have about 5 KB.
 inline constexpr std::size_t MaxPeerMessageBytes = 16'384;
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -1,7 +1,6 @@
 /// @file Implementation of the decider: grant, heartbeats, evictions and recording of plans.
 #include "hyssoppond/batch/batch_decider_base.h"
 #include "hyssoppond/batch/lease_rule_func.h"
-#include "hyssoppond/batch/peer_message_type.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -37,6 +36,28 @@
 /// Number of random low bits of an epoch. They keep the epochs of two concurrent grants apart.
 constexpr unsigned EpochRandomBits = 10;
 
+/// The holder of the partition asks the present decider at this interval, and takes over when it
+/// has got no answer for the following time. An answer takes 20 ms between zones, and a datagram
+/// may be lost.
+constexpr absl::Duration QueryInterval = absl::Milliseconds(50);
+constexpr absl::Duration DeciderAnswerTimeout = absl::Milliseconds(150);
+
+/// A reserve entry asks for the decider at this interval, and joins the group when it has known of
+/// none for the following time.
+constexpr absl::Duration ReserveQueryInterval = absl::Milliseconds(1000);
+constexpr absl::Duration ReserveDelay = absl::Milliseconds(3000);
+
+/// Nothing is decided on a state that is older than this: a read of the journal takes 1.5 s
+/// without records, and its answer may be late.
+constexpr absl::Duration MaxStateAge = absl::Milliseconds(3000);
+
+/// A decider whose records have no outcome for this time lets another entry take over.
+constexpr absl::Duration MaxRecordStall = absl::Milliseconds(3000);
+
+/// Pause after a plan, as a multiple of the time that it took, so that an entry with little
+/// processor time still reads the journal and keeps its membership.
+constexpr double PlanPauseFactor = 2.0;
+
 /// Timeout for recording a grant. If it is not in the journal by then, the entry steps down.
 constexpr absl::Duration RecordTimeout = absl::Seconds(5);
 
@@ -79,13 +100,16 @@
     absl::Time next = absl::InfiniteFuture();
     if (!m_joining && !m_leaving)
         next = std::min(next, m_nextJoinAt);
+    if (m_takeOverAt != absl::InfiniteFuture())
+        next = std::min({next, m_takeOverAt, m_nextQueryAt});
     if (m_writer)
         next = std::min(next, m_writer->nextDeadline());
     if (m_phase == phase::Deciding) {
         if (!m_readingHeartbeats)
             next = std::min(next, m_nextHeartbeatReadAt);
-        if (!m_recording)
-            next = std::min(next, m_nextPlanAt);
+        if (!m_recording && m_journal->position() >= m_recordedTo && !isBehind())
+            next = std::min(next,
+                            std::max(m_planDue ? m_planAllowedAt : m_nextPlanAt, m_planAllowedAt));
     }
     return next;
 }
@@ -94,8 +118,22 @@
 {
     const absl::Time now = m_hooks.now();
     std::erase_if(m_retiredWriters, [](const auto &writer) { return !writer->isSending(); });
-    if (!m_joining && !m_leaving && now >= m_nextJoinAt && m_journal->isLoaded())
-        join();
+    if (!m_joining && !m_leaving && now >= m_nextJoinAt && m_journal->isLoaded()) {
+        if (takesPart())
+            join();
+        else
+            m_nextJoinAt = now + ReserveQueryInterval;
+    }
+    if (m_takeOverAt <= now) {
+        m_takeOverAt = absl::InfiniteFuture();
+        if (m_phase == phase::Standby && !m_leaving) {
+            logDecision("decider does not answer", m_state->grant().entry.str(),
+                        absl::StrCat("epoch ", m_state->grant().epoch));
+            takeGrant();
+        }
+    } else if (m_takeOverAt != absl::InfiniteFuture() && now >= m_nextQueryAt) {
+        sendQuery();
+    }
     if (m_writer)
         m_writer->tick();
     if (m_phase != phase::Standby && m_state->grant().epoch > m_epoch)
@@ -114,10 +152,90 @@
         wakeEntries();
     if (!m_readingHeartbeats && now >= m_nextHeartbeatReadAt)
         readHeartbeats();
-    if (!m_recording && m_journal->position() >= m_recordedTo && (m_planDue || now >= m_nextPlanAt))
+    const bool isDue = (m_planDue || now >= m_nextPlanAt) && now >= m_planAllowedAt;
+    if (!m_recording && m_journal->position() >= m_recordedTo && isDue && !isBehind())
         plan();
 }
 
+bool batch_decider::isBehind() const
+{
+    return m_hooks.now() - m_journal->currentAsOf() > MaxStateAge;
+}
+
+bool batch_decider::isAbleToDecide() const
+{
+    const bool isStalled = m_writer && m_writer->isStalled(MaxRecordStall);
+    return m_phase != phase::Standby && !m_leaving && !isBehind() && !isStalled;
+}
+
+bool batch_decider::takesPart()
+{
+    if (!m_options.isReserve || m_phase != phase::Standby)
+        return true;
+    const absl::Time now = m_hooks.now();
+    if (m_deciderSeenAt == absl::InfinitePast())
+        m_deciderSeenAt = now;
+    const bool noDecider = now - m_deciderSeenAt > ReserveDelay;
+    if (!noDecider && m_generation != 0) {
+        m_store->leave({m_options.group, m_options.entry.str(), m_options.journalTopic,
+                        MembershipTtl, m_generation, now + StoreCallTimeout, false});
+        m_generation = 0;
+    }
+    if (!deciderAddress().empty())
+        sendQuery();
+    return noDecider;
+}
+
+std::string batch_decider::deciderAddress() const
+{
+    const process_id &decider = m_state->grant().entry;
+    const auto found = m_state->processes().find(decider);
+    const bool isKnown = found != m_state->processes().end() && decider != m_options.entry;
+    return isKnown && sendWake && !m_options.address.empty() ? found->second.wakeAddress : "";
+}
+
+void batch_decider::sendQuery()
+{
+    m_nextQueryAt = m_hooks.now() + QueryInterval;
+    sendWake(deciderAddress(),
+             encodePeerMessage(decider_query {m_options.address, m_options.isReserve}));
+}
+
+void batch_decider::onQuery(const decider_query &query)
+{
+    if (!sendWake)
+        return;
+    // A reserve entry gives way to any other one.
+    const bool givesWay = m_options.isReserve && !query.isReserve;
+    const bool keeps = isAbleToDecide() && !givesWay;
+    sendWake(query.replyTo,
+             encodePeerMessage(decider_answer {m_options.entry, keeps ? m_epoch : 0}));
+}
+
+void batch_decider::onAnswer(const decider_answer &answer)
+{
+    if (answer.entry != m_state->grant().entry)
+        return; // of an earlier decider
+    if (answer.epoch != 0) {
+        m_deciderSeenAt = m_hooks.now();
+        m_takeOverAt = absl::InfiniteFuture();
+    } else if (m_takeOverAt != absl::InfiniteFuture()) {
+        m_takeOverAt = m_hooks.now();
+    }
+}
+
+void batch_decider::considerTakeover()
+{
+    if (m_takeOverAt != absl::InfiniteFuture())
+        return;
+    if (deciderAddress().empty()) {
+        takeGrant();
+        return;
+    }
+    m_takeOverAt = m_hooks.now() + DeciderAnswerTimeout;
+    sendQuery();
+}
+
 void batch_decider::join()
 {
     m_joining = true;
@@ -141,8 +259,10 @@
         != answer.partitions.end();
     // An entry that loses the partition continues to decide until the grant of the next decider
     // fences it.
-    if (holdsPartition && m_phase == phase::Standby && !m_leaving && m_config != nullptr)
-        takeGrant();
+    if (!holdsPartition)
+        m_takeOverAt = absl::InfiniteFuture();
+    else if (m_phase == phase::Standby && !m_leaving && m_config != nullptr)
+        considerTakeover();
 }
 
 void batch_decider::takeGrant()
@@ -252,7 +372,7 @@
 
 void batch_decider::watchAgents()
 {
-    if (m_journal->position() < m_recordedTo)
+    if (m_journal->position() < m_recordedTo || isBehind())
         return; // the state lacks evictions or reinstatements of this decider
     const absl::Time now = m_hooks.now();
     for (const auto &[agent, announced] : m_state->agents()) {
@@ -344,6 +464,8 @@
     const plan_input input = planInput();
     const std::vector<plan_decision> decisions = m_scheduler.plan(input);
     m_nextPlanAt = m_scheduler.nextDeadline(input);
+    const absl::Time plannedAt = m_hooks.now();
+    m_planAllowedAt = plannedAt + (plannedAt - input.now) * PlanPauseFactor;
     if (!decisions.empty())
         record(decisions);
 }
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -50,7 +50,7 @@
           {m_options.journalTopic, absl::StrCat(m_options.entry.str(), "/", m_options.incarnation)},
           store, m_hooks)
     , m_decider({m_options.entry, m_options.journalTopic, HeartbeatTopic, "decider", "decider",
-                 m_options.scheduler},
+                 m_options.wakeAddress, m_options.isReserve, m_options.scheduler},
                 store, m_hooks, &m_state, &m_journal)
 {
     m_configFollower.onLoaded = [this](const auto &records) { applyConfig(records); };
@@ -134,6 +134,18 @@
     }
 }
 
+void batch_entry::receive(const peer_message &message)
+{
+    if (std::holds_alternative<wake_message>(message)) {
+        onWake();
+    } else if (const auto *query = std::get_if<decider_query>(&message)) {
+        m_decider.onQuery(*query);
+    } else if (const auto *answer = std::get_if<decider_answer>(&message)) {
+        m_decider.onAnswer(*answer);
+        tick();
+    }
+}
+
 void batch_entry::tick()
 {
     m_configFollower.tick();
