Headroom for urgent gangs grows with their spread and keeps whole workers

The headroom covered the mean number of arrivals, and 1.2 jobs more at any rate; the number varies by its square root. It was counted in accelerators, and small items of other work lay on nearly all workers, so that items of eight accelerators found none.

The headroom now has 1.2 times the root of the expected arrivals on top of them, is at most half of the site, and the share of it that urgent items of more than half a worker need stays free on idle workers. Test: smallItemsLeaveWholeWorkersForUrgentGangs failed before.

--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace hyssoppond::batch {
@@ -13,7 +14,8 @@
 /// Urgent jobs submitted within this time determine the headroom, in ms.
 constexpr unix_ms HeadroomWindowMs = 10'000;
 
-/// The headroom lets this many urgent jobs of mean size start without stopping other work.
+/// The headroom lets this many urgent jobs of mean size start without stopping other work, times
+/// the square root of the number that is expected, as the number varies by that.
 constexpr double HeadroomJobs = 1.2;
 
 /// The headroom also covers the urgent jobs that arrive within this time, in seconds. It is about
@@ -21,7 +23,7 @@
 constexpr double HeadroomSeconds = 2.2;
 
 /// Largest share of all accelerators that is kept free as headroom.
-constexpr double HeadroomShare = 0.35;
+constexpr double HeadroomShare = 0.5;
 
 /// Gangs for which one plan reserves capacity. More would leave too many workers idle.
 constexpr std::uint32_t MaxGangReservations = 2;
@@ -361,7 +363,7 @@
     }
     if (prefersRack) {
         const std::vector<std::size_t> chosenInRack = fitInOneRack(unit, freeNow);
-        if (!chosenInRack.empty()) {
+        if (!chosenInRack.empty() && (urgent || leavesIdleWorkers(chosenInRack))) {
             orderRun(unit, chosenInRack);
             return true;
         }
@@ -375,7 +377,7 @@
         }
     }
     const std::vector<std::size_t> chosen = fit(unit, anywhere, freeNow);
-    if (!chosen.empty()) {
+    if (!chosen.empty() && (urgent || leavesIdleWorkers(chosen))) {
         orderRun(unit, chosen);
         return true;
     }
@@ -421,7 +423,14 @@
 void plan_maker::computeHeadroom()
 {
     std::int64_t demand = 0;
+    std::int64_t wholeDemand = 0;
     std::int64_t count = 0;
+    std::int64_t capacity = 0;
+    std::int64_t largestWorker = 0;
+    for (const worker_availability &worker : workers) {
+        capacity += worker.description->capacity.accelerators;
+        largestWorker = std::max(largestWorker, worker.description->capacity.accelerators);
+    }
     for (const auto &[id, job] : input.state->jobs()) {
         if (input.nowMs - job.job.submittedMs > HeadroomWindowMs)
             continue;
@@ -429,20 +438,38 @@
         if (queue == nullptr || queue->priority != 0)
             continue;
         ++count;
-        demand += job.job.steps.front().item.accelerators * job.job.steps.front().count;
+        const batch_step &first = job.job.steps.front();
+        demand += first.item.accelerators * first.count;
+        if (first.item.accelerators * 2 > largestWorker)
+            wholeDemand += first.item.accelerators * first.count;
     }
-    std::int64_t capacity = 0;
-    for (const worker_availability &worker : workers)
-        capacity += worker.description->capacity.accelerators;
-    if (count == 0)
+    if (demand == 0)
         return;
-    const double jobs = HeadroomJobs
-        + HeadroomSeconds * 1000.0 * static_cast<double>(count)
-            / static_cast<double>(HeadroomWindowMs);
+    const double arrivals = HeadroomSeconds * 1000.0 * static_cast<double>(count)
+        / static_cast<double>(HeadroomWindowMs);
+    const double jobs = arrivals + HeadroomJobs * std::max(1.0, std::sqrt(arrivals));
     const double wantedAccelerators
         = jobs * static_cast<double>(demand) / static_cast<double>(count);
     headroom = static_cast<std::int64_t>(
         std::min(wantedAccelerators, HeadroomShare * static_cast<double>(capacity)));
+    if (wholeDemand > 0)
+        wholeHeadroom = headroom * wholeDemand / demand / largestWorker * largestWorker;
+}
+
+bool plan_maker::leavesIdleWorkers(const std::vector<std::size_t> &chosen) const
+{
+    std::int64_t idle = 0;
+    std::int64_t used = 0;
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+        const worker_availability &worker = workers[i];
+        if (worker.description->draining || worker.quarantined || worker.silent
+            || !(worker.free == worker.description->capacity))
+            continue;
+        idle += worker.free.accelerators;
+        if (std::find(chosen.begin(), chosen.end(), i) != chosen.end())
+            used += worker.free.accelerators;
+    }
+    return used == 0 || idle - used >= wholeHeadroom;
 }
 
 bool plan_maker::leavesHeadroom(const waiting_unit &unit) const
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -26,6 +26,9 @@
     std::map<unit_id, std::vector<process_id>> keptClaims = {}; ///< claims that the next plan gets
     /// Accelerators that work of lower priority leaves free for the next urgent jobs.
     std::int64_t headroom = 0;
+    /// Part of `headroom` that stays free on workers that run nothing, for items that need more
+    /// than half of a worker.
+    std::int64_t wholeHeadroom = 0;
     std::uint32_t reservations = 0; ///< gangs for which capacity is reserved in this plan
 
     /// Active run of an item or a gang.
@@ -122,6 +125,9 @@
     bool preempt(const waiting_unit &unit);
     /// True if `headroom` accelerators stay free when `unit` starts.
     bool leavesHeadroom(const waiting_unit &unit) const;
+    /// True if `wholeHeadroom` accelerators stay free on idle workers when work that is not urgent
+    /// starts on the workers `chosen`.
+    bool leavesIdleWorkers(const std::vector<std::size_t> &chosen) const;
     /// Reserves the workers of the rack with the most free accelerators for a waiting gang.
     void reserveForGang(const waiting_unit &unit);
     /// Reserves the workers and keeps them for the unit in the next plans.
--- a/tests/batch_plan_test.cpp
+++ b/tests/batch_plan_test.cpp
@@ -19,6 +19,38 @@
     return step;
 }
 
+// Urgent gangs whose items take whole workers, beside wide jobs of small items. Guards against
+// small items on every worker: half of the site is free then, and no urgent item fits without
+// stops.
+TEST(batch_plan_test, smallItemsLeaveWholeWorkersForUrgentGangs)
+{
+    plan_site site(20);
+    for (std::size_t i = 0; i < 10; ++i) {
+        const std::string id = absl::StrCat("urgent-", i);
+        site.submit(id, "urgent", "b", plan_site::stepOf(4, 8, true));
+        site.run(id, {0, 1, 2, 3}, true);
+        site.advance(900);
+        site.end(id, run_end::Done, 900);
+    }
+    for (std::size_t i = 0; i < 12; ++i) {
+        const std::string id = absl::StrCat("small-", i);
+        site.submit(id, "low", "b", plan_site::stepOf(1, 2));
+        site.run(id, {i});
+    }
+    site.submit("wide", "low", "b", plan_site::stepOf(40, 1));
+    EXPECT_EQ(site.plan().ordered.size(), 40U);
+    site.submit("urgent", "urgent", "b", plan_site::stepOf(8, 8, true));
+    const plan_site::outcome planned = site.plan();
+    EXPECT_THAT(planned.ordered, ElementsAre("urgent"));
+    EXPECT_THAT(planned.stopped, IsEmpty());
+    // Further items do not go to the idle workers either.
+    site.end("urgent", run_end::Done, 900);
+    site.submit("more", "low", "b", plan_site::stepOf(80, 1));
+    site.plan();
+    site.submit("second", "urgent", "b", plan_site::stepOf(8, 8, true));
+    EXPECT_THAT(site.plan().ordered, ElementsAre("second"));
+}
+
 // A burst of urgent jobs of all teams. Guards against urgent jobs that stop each other, so that
 // both end late although a run would have ended and freed its worker a moment later.
 TEST(batch_plan_test, urgentRunOfAnotherTeamIsNotStoppedBeforeTheGuaranteeIsDue)
