After a call without an answer no older connection to that server is used

When several kept connections go silent at once, each later call tried one of them and failed at its deadline, one after the other, although new connections work: an agent with ten such connections to the store was cut off for ten calls. A call that times out now also retires all connections to the same server that were open then. Test: oneCallWithoutAnswerEndsTheUseOfAllConnectionsBefore failed before.

--- a/include/hyssoppond/loop/http_client_base.h
+++ b/include/hyssoppond/loop/http_client_base.h
@@ -37,7 +37,8 @@
 };
 
 /// Sends requests over kept connections. A connection whose call failed is closed, because an open
-/// connection can stop answering for good while new ones work. Not thread-safe.
+/// connection can stop answering for good while new ones work. After a call without an answer no
+/// connection to that server is used again that was open before. Not thread-safe.
 class http_client
 {
 public:
@@ -63,12 +64,17 @@
     /// while the machine is suspended.
     void endOverdueTransfers();
     void finish(CURL *easy, CURLcode code);
+    /// Keeps the call away from connections that were open when a call to the same server got no
+    /// answer.
+    void avoidSilentConnections(CURL *easy, const http_call &call) const;
 
     event_loop *m_loop;
     CURLM *m_multi;
     timer_id m_timer = 0;
     std::map<CURL *, std::unique_ptr<transfer>> m_transfers;
     std::vector<CURL *> m_idleHandles; ///< handles kept for reuse
+    /// When a call last got no answer, by server.
+    std::map<std::string, absl::Time> m_silentAt;
 };
 
 } // namespace hyssoppond
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -33,6 +33,12 @@
     return size * count;
 }
 
+/// The part of a URL that names the server: scheme, host and port.
+std::string serverOf(const std::string &url)
+{
+    return url.substr(0, url.find('/', url.find("://") + 3));
+}
+
 int setSocketOptions(void * /*context*/, curl_socket_t socket, curlsocktype /*purpose*/)
 {
     const int timeout = UnacknowledgedTimeoutMs;
@@ -124,6 +130,7 @@
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &setSocketOptions);
     if (call.freshConnection)
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    avoidSilentConnections(easy, call);
     const std::int64_t remainingMs = std::max<std::int64_t>(
         1, absl::ToInt64Milliseconds(call.deadline - event_loop::steadyNow()));
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(remainingMs));
@@ -133,6 +140,19 @@
     curl_multi_add_handle(m_multi, easy);
 }
 
+void http_client::avoidSilentConnections(CURL *easy, const http_call &call) const
+{
+    const auto silent = m_silentAt.find(serverOf(call.url));
+    if (silent == m_silentAt.end())
+        return;
+    // Curl closes kept connections whose age in whole seconds exceeds this.
+    const std::int64_t seconds = absl::ToInt64Seconds(event_loop::steadyNow() - silent->second) - 1;
+    if (seconds < 1)
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    else
+        curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, static_cast<long>(seconds));
+}
+
 int http_client::onSocket(CURL * /*easy*/, curl_socket_t socket, int pollAction, void *self,
                           void * /*socketData*/)
 {
@@ -225,6 +245,8 @@
         current->reply.refused
             = current->reply.unsent && code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
         current->reply.problem = curl_easy_strerror(code);
+        if (code == CURLE_OPERATION_TIMEDOUT && !current->reply.unsent)
+            m_silentAt[serverOf(current->call.url)] = event_loop::steadyNow();
     }
     curl_multi_remove_handle(m_multi, easy);
     if (m_idleHandles.size() < MaxIdleHandles)
--- a/tests/loop_test.cpp
+++ b/tests/loop_test.cpp
@@ -129,6 +129,82 @@
     std::thread m_thread;
 };
 
+/// Server on loopback whose first two connections answer one request each and then go silent for
+/// good. Later connections answer every request. Requests end with "end".
+class silent_server
+{
+public:
+    silent_server()
+        : m_listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        EXPECT_EQ(bind(m_listener, reinterpret_cast<sockaddr *>(&address), size), 0);
+        EXPECT_EQ(listen(m_listener, 4), 0);
+        getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
+        port = ntohs(address.sin_port);
+        m_thread = std::thread([this] { run(); });
+    }
+    ~silent_server()
+    {
+        m_stop = true;
+        m_thread.join();
+        for (const pollfd &socketEntry : m_sockets)
+            close(socketEntry.fd);
+    }
+    silent_server(const silent_server &) = delete;
+    silent_server &operator=(const silent_server &) = delete;
+
+    std::uint16_t port = 0;
+
+private:
+    static constexpr std::size_t SilentConnections = 2;
+
+    void run()
+    {
+        m_sockets.push_back({m_listener, POLLIN, 0});
+        m_answers.push_back(0);
+        while (!m_stop) {
+            poll(m_sockets.data(), m_sockets.size(), 20);
+            for (std::size_t i = 1; i < m_sockets.size(); ++i) {
+                if ((m_sockets[i].revents & POLLIN) != 0)
+                    serve(i);
+            }
+            if ((m_sockets[0].revents & POLLIN) != 0) {
+                m_sockets.push_back({accept(m_listener, nullptr, nullptr), POLLIN, 0});
+                m_answers.push_back(0);
+            }
+        }
+    }
+
+    void serve(std::size_t index)
+    {
+        char part[512];
+        const ssize_t length = read(m_sockets[index].fd, part, sizeof part);
+        if (length <= 0) {
+            m_sockets[index].events = 0;
+            return;
+        }
+        const bool isWhole
+            = std::string_view(part, static_cast<std::size_t>(length)).ends_with("end");
+        const bool isSilent = index <= SilentConnections && m_answers[index] > 0;
+        if (!isWhole || isSilent)
+            return;
+        ++m_answers[index];
+        const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        EXPECT_EQ(write(m_sockets[index].fd, text.data(), text.size()),
+                  static_cast<ssize_t>(text.size()));
+    }
+
+    int m_listener;
+    std::atomic<bool> m_stop = false;
+    std::vector<pollfd> m_sockets; ///< the first one is the listener
+    std::vector<int> m_answers;    ///< requests answered, by socket
+    std::thread m_thread;
+};
+
 class loop_test : public testing::Test
 {
 protected:
@@ -286,6 +362,38 @@
     server.reset();
 }
 
+// Guards against calls that fail one after the other although new connections work: several kept
+// connections went silent at the same time, and each call tried one of them until its deadline.
+TEST_F(loop_test, oneCallWithoutAnswerEndsTheUseOfAllConnectionsBefore)
+{
+    for (const absl::Duration pause : {absl::Milliseconds(100), absl::Milliseconds(2'300)}) {
+        silent_server server;
+        m_options.port = server.port;
+        http_client client(&m_loop);
+        std::vector<int> statuses;
+        const auto note = [&](const http_reply &reply) { statuses.push_back(reply.status); };
+        client.send(makeCall("first end"), note);
+        client.send(makeCall("second end"), [&](const http_reply &reply) {
+            note(reply);
+            http_call silentCall = makeCall("third end");
+            silentCall.deadline = event_loop::steadyNow() + absl::Milliseconds(300);
+            client.send(silentCall, [&](const http_reply &silentReply) {
+                note(silentReply);
+                m_loop.callAt(event_loop::steadyNow() + pause, [&] {
+                    http_call later = makeCall("fourth end");
+                    later.deadline = event_loop::steadyNow() + absl::Milliseconds(600);
+                    client.send(later, [&](const http_reply &laterReply) {
+                        note(laterReply);
+                        m_loop.stop();
+                    });
+                });
+            });
+        });
+        m_loop.run();
+        EXPECT_EQ(statuses, (std::vector<int> {200, 200, 0, 200}));
+    }
+}
+
 // Guards against an order that curl repeats by itself when its connection breaks. The answer to the
 // second copy, here a refusal, hides that the server may still carry out the first one.
 TEST_F(loop_test, callWhoseConnectionBreaksIsNotRepeated)
