--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -220,7 +220,12 @@
         m_deciderSeenAt = m_hooks.now();
         m_takeOverAt = absl::InfiniteFuture();
     } else if (m_takeOverAt != absl::InfiniteFuture()) {
-        m_takeOverAt = m_hooks.now();
+        m_takeOverAt = absl::InfiniteFuture();
+        if (m_phase == phase::Standby && !m_leaving) {
+            logDecision("decider gives way", answer.entry.str(),
+                        absl::StrCat("epoch ", m_state->grant().epoch));
+            takeGrant();
+        }
     }
 }
 
