Server threads poll instead of using epoll, so that a stop cannot abort the process

By reading: MHD_quiesce_daemon marks the pool's threads as quiesced and removes the listening socket from their epoll sets, and a thread that sees the mark meanwhile removes it too; the second removal fails, and the library aborts the process. An entry or agent could end so at its graceful stop. With poll there is no such set.

--- a/src/rpc/rpc_server.cpp
+++ b/src/rpc/rpc_server.cpp
@@ -256,8 +256,10 @@
     sockaddr_in v4 {};
     sockaddr_in6 v6 {};
     const sockaddr *listenAddress = nullptr;
+    // Not MHD_USE_EPOLL: MHD_quiesce_daemon and a polling thread may then both remove the listening
+    // socket from the epoll set, and libmicrohttpd aborts the process when the second one fails.
     unsigned flags
-        = MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+        = MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
     if (inet_pton(AF_INET, options.listen.host.c_str(), &v4.sin_addr) == 1) {
         v4.sin_family = AF_INET;
         v4.sin_port = htons(options.listen.port);
