--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import bisect
 import json
 import os
 import random
@@ -177,7 +178,7 @@
         return window[1] <= limit
 
     def topic(self, name):
-        return self.topics.setdefault(name, {"records": [], "newest": {}})
+        return self.topics.setdefault(name, {"records": [], "newest": {}, "keys": []})
 
     def put(self, topic, key, value):
         """Appends a record as the operator does."""
@@ -192,9 +193,11 @@
         if topic.startswith("keyed.") and content and len(content) >= 1 + content[0]:
             key, value = content[1:1 + content[0]], content[1 + content[0]:]
             if value:
+                if key not in state["newest"]:
+                    bisect.insort(state["keys"], key)
                 state["newest"][key] = (offset, value)
-            else:
-                state["newest"].pop(key, None)
+            elif state["newest"].pop(key, None):
+                state["keys"].remove(key)
         return offset
 
     def wake(self):
@@ -303,9 +306,9 @@
             return 404, {}
         after = request.query.get("dependsOn", "").encode()
         items, size, more = [], 0, False
-        for key in sorted(topic["newest"]):
-            if after and key <= after:
-                continue
+        keys = topic["keys"]
+        for index in range(bisect.bisect_right(keys, after) if after else 0, len(keys)):
+            key = keys[index]
             offset, value = topic["newest"][key]
             if len(items) >= self.PAGE_ITEMS or (items and size + len(value) > self.PAGE_BYTES):
                 more = True
@@ -764,9 +767,12 @@
         site = Site(folder, **options)
         site.record(f"disruption: {'on' if trouble else 'off'}")
         result = NOT_RUN
+        work = asyncio.ensure_future(asyncio.wait_for(scenario(site, trouble), limit_s))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, work.cancel)
         try:
-            result = await asyncio.wait_for(scenario(site, trouble), limit_s)
-        except Exception as problem:  # the case could not run
+            result = await work
+        except (Exception, asyncio.CancelledError) as problem:  # the case could not run
             site.record(f"not run: {problem!r}")
             print(f"not run: {problem!r}", file=sys.stderr)
         finally:
