Loads: a page or read that takes longer than 1.2 s arrives

After a long cut the same held for the read that catches up.

Cause: each try of a page, of the log after the pages, and of a read was cut off after the same time (1.2 s), and the next one started from nothing. The fake store passed answers on after the deadline of their call, so no test could see it; it no longer does, but for appends, which tests hold back beyond it.

After an unanswered try the next one, over a fresh connection, may take 4.8 s, and later ones 9.6 s; an answer brings back the usual limit. Longer limits alone would wait for a try that was lost in a silence, so tries with the usual limit go on beside the long one, as often as before. The first answer counts; late ones of the same page or read are dropped. Reads of the log in all phases share this. Deadlines of other calls stay.

--- a/include/hyssoppond/batch/log_follower_base.h
+++ b/include/hyssoppond/batch/log_follower_base.h
@@ -12,6 +12,8 @@
     std::string topic;
     absl::Duration wait = absl::Milliseconds(1500);          ///< of the store, for a new record
     absl::Duration answerTimeout = absl::Milliseconds(1200); ///< added to the wait
+    /// Upper bound of the time limit of a try after others got no answer.
+    absl::Duration maxAnswerTimeout = absl::Milliseconds(9600);
 };
 
 /// How the newest records were read; the pages are not a snapshot.
@@ -74,20 +76,39 @@
         Following,    ///< the load was handed over
     };
 
+    /// One call for a page or a read, which may be tried several times.
+    struct call_try
+    {
+        std::uint64_t step = 0; ///< the page or read that it is for
+        bool isLong = false;    ///< others may be sent beside it
+        absl::Time sentAt;
+        absl::Time deadline;
+    };
+
+    /// Begins a try of the present page or read. After a try without an answer the next one may
+    /// take longer, and tries with the usual limit are sent beside it. So an answer that takes long
+    /// arrives, and the end of a silence is noticed as soon as without the long try.
+    call_try beginTry(absl::Duration wait);
+    /// Ends a try. Returns false if its page or read has ended with another one.
+    bool endTry(const call_try &ended, store_outcome outcome);
+    /// Ends the present page or read with an answer: tries that are in flight no longer count.
+    void endStep();
+
     void readPage();
-    void onPage(newest_answer answer, absl::Time sentAt);
+    void onPage(newest_answer answer, const call_try &answered);
     void catchUp();
-    void onCaughtUp(read_answer answer, absl::Time sentAt);
+    void onCaughtUp(read_answer answer, const call_try &answered);
     /// Drops the load that is in progress, so that the next one begins with the first page.
     void resetLoad();
     /// Replaces the records of the pages by the newer ones of the log.
     void mergeNewerRecords();
     void handOver();
     void follow();
-    void onRead(read_answer answer, absl::Time sentAt);
+    void onRead(read_answer answer, const call_try &answered);
     void onBarrier(const read_answer &answer, absl::Time deadline,
                    const std::function<void(bool)> &done);
-    void retryLater();
+    /// Lets the next try begin after a pause.
+    void retryLater(const call_try &ended);
     void deliver(const std::vector<stored_record> &records, std::uint64_t end);
 
     follower_options m_options;
@@ -95,7 +116,10 @@
     loop_hooks m_hooks;
     absl::Duration m_minReadInterval = absl::ZeroDuration();
     phase m_phase = phase::ReadingPages;
-    bool m_inFlight = false;
+    bool m_inFlight = false; ///< a try beside which no other one is sent
+    bool m_longTryInFlight = false;
+    std::uint64_t m_step = 0;
+    std::uint32_t m_unansweredTries = 0; ///< of the present page or read
     bool m_reachable = true;
     bool m_useFreshConnection = false; ///< as the last call got no answer
     std::uint32_t m_failures = 0;
--- a/include/hyssoppond/fakes/fake_store_base.h
+++ b/include/hyssoppond/fakes/fake_store_base.h
@@ -23,6 +23,7 @@
     std::set<std::string> silentAppendsTo; ///< topics to which appends have no effect and no answer
     double loseAnswers = 0.0;              ///< share of appends that take effect without an answer
     double executeLate = 0.0; ///< share of appends that take effect 1 to 6 s later, unanswered
+    /// Answers to other calls than appends do not arrive after the deadline of their call.
     absl::Duration answerDelay = absl::Milliseconds(4);
 };
 
--- a/src/batch/log_follower.cpp
+++ b/src/batch/log_follower.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace hyssoppond::batch {
@@ -14,9 +15,19 @@
 constexpr absl::Duration FirstRetryDelay = absl::Milliseconds(100);
 constexpr absl::Duration MaxRetryDelay = absl::Milliseconds(400);
 
+/// Growth of the time limit with each try without an answer.
+constexpr double TimeoutGrowth = 4.0;
+
 /// Pause after a read that the store answered at once without a record.
 constexpr absl::Duration EmptyTopicPause = absl::Milliseconds(150);
 
+/// Pause after the last of `failures` tries.
+absl::Duration retryPause(std::uint32_t failures, std::uint64_t random)
+{
+    const double jitter = 0.75 + 0.5 * static_cast<double>(random % 1000) / 1000.0;
+    return std::min(MaxRetryDelay, FirstRetryDelay * failures) * jitter;
+}
+
 /// The same call may succeed later.
 bool isUnanswered(store_outcome outcome)
 {
@@ -68,27 +79,65 @@
                         load.newerRecords, " newer records");
 }
 
-void log_follower::readPage()
+log_follower::call_try log_follower::beginTry(absl::Duration wait)
 {
-    m_inFlight = true;
     const absl::Time now = m_hooks.now();
-    m_store->newest(
-        {m_options.topic, m_afterKey, now + m_options.answerTimeout, m_useFreshConnection},
-        [this, now](newest_answer answer) { onPage(std::move(answer), now); });
+    const bool isLong = m_unansweredTries > 0 && !m_longTryInFlight;
+    absl::Duration limit = m_options.answerTimeout;
+    if (isLong) {
+        limit = std::min(limit * std::pow(TimeoutGrowth, m_unansweredTries),
+                         m_options.maxAnswerTimeout);
+        m_longTryInFlight = true;
+        m_retryAt
+            = now + wait + m_options.answerTimeout + retryPause(m_failures + 1, m_hooks.random());
+    } else {
+        m_inFlight = true;
+    }
+    return {m_step, isLong, now, now + wait + limit};
 }
 
-void log_follower::onPage(newest_answer answer, absl::Time sentAt)
+bool log_follower::endTry(const call_try &ended, store_outcome outcome)
 {
+    if (ended.step != m_step)
+        return false;
+    if (ended.isLong)
+        m_longTryInFlight = false;
+    else
+        m_inFlight = false;
+    if (outcome == store_outcome::Unknown)
+        ++m_unansweredTries;
+    m_useFreshConnection = outcome == store_outcome::Unknown;
+    if (!isUnanswered(outcome))
+        endStep();
+    return true;
+}
+
+void log_follower::endStep()
+{
+    ++m_step;
+    m_unansweredTries = 0;
     m_inFlight = false;
+    m_longTryInFlight = false;
+}
+
+void log_follower::readPage()
+{
+    const call_try current = beginTry(absl::ZeroDuration());
+    m_store->newest({m_options.topic, m_afterKey, current.deadline, m_useFreshConnection},
+                    [this, current](newest_answer answer) { onPage(std::move(answer), current); });
+}
+
+void log_follower::onPage(newest_answer answer, const call_try &answered)
+{
+    if (!endTry(answered, answer.outcome))
+        return;
     if (answer.outcome != store_outcome::Ok) {
-        m_useFreshConnection = answer.outcome == store_outcome::Unknown;
         // The pages so far can be kept, as the log since the first one is merged into them.
         if (!isUnanswered(answer.outcome))
             resetLoad();
-        retryLater();
+        retryLater(answered);
         return;
     }
-    m_useFreshConnection = false;
     if (m_pages == 0) {
         m_firstPageEnd = answer.end;
         m_loadPosition = answer.end;
@@ -97,7 +146,7 @@
     m_catchUpEnd = std::max(m_catchUpEnd, answer.end);
     for (const stored_record &record : answer.records)
         m_catchUpEnd = std::max(m_catchUpEnd, record.offset + 1);
-    m_loadCurrentAsOf = sentAt;
+    m_loadCurrentAsOf = answered.sentAt;
     if (!answer.records.empty())
         m_afterKey = answer.records.back().key;
     const bool more = answer.more && !answer.records.empty();
@@ -118,31 +167,29 @@
 
 void log_follower::catchUp()
 {
-    m_inFlight = true;
-    const absl::Time now = m_hooks.now();
-    m_store->read({m_options.topic, m_loadPosition, absl::ZeroDuration(),
-                   now + m_options.answerTimeout, m_useFreshConnection},
-                  [this, now](read_answer answer) { onCaughtUp(std::move(answer), now); });
+    const call_try current = beginTry(absl::ZeroDuration());
+    m_store->read({m_options.topic, m_loadPosition, absl::ZeroDuration(), current.deadline,
+                   m_useFreshConnection},
+                  [this, current](read_answer answer) { onCaughtUp(std::move(answer), current); });
 }
 
-void log_follower::onCaughtUp(read_answer answer, absl::Time sentAt)
+void log_follower::onCaughtUp(read_answer answer, const call_try &answered)
 {
-    m_inFlight = false;
+    if (!endTry(answered, answer.outcome))
+        return;
     if (answer.outcome != store_outcome::Ok || answer.records.empty()) {
-        m_useFreshConnection = answer.outcome == store_outcome::Unknown;
         const bool expired = answer.outcome == store_outcome::Expired;
         if (!isUnanswered(answer.outcome))
             resetLoad();
         if (expired)
             m_retryAt = m_hooks.now() + FirstRetryDelay;
         else
-            retryLater();
+            retryLater(answered);
         return;
     }
-    m_useFreshConnection = false;
     m_loadPosition = answer.records.back().offset + 1;
     if (m_loadPosition >= answer.end)
-        m_loadCurrentAsOf = sentAt;
+        m_loadCurrentAsOf = answered.sentAt;
     m_newerRecords.insert(m_newerRecords.end(), std::make_move_iterator(answer.records.begin()),
                           std::make_move_iterator(answer.records.end()));
     if (m_loadPosition >= m_catchUpEnd)
@@ -197,29 +244,29 @@
 
 void log_follower::follow()
 {
-    m_inFlight = true;
     const absl::Time now = m_hooks.now();
     // After a failure, or an answer that came late because this process did not run, the first read
     // does not wait, so that the records are soon known to be current.
     const bool lateAnswer = now - m_currentAsOf > m_options.wait + m_options.answerTimeout;
     const absl::Duration wait
         = m_failures == 0 && !lateAnswer ? m_options.wait : absl::ZeroDuration();
-    m_store->read({m_options.topic, m_position, wait, now + wait + m_options.answerTimeout,
-                   m_useFreshConnection},
-                  [this, now](read_answer answer) { onRead(std::move(answer), now); });
+    const call_try current = beginTry(wait);
+    m_store->read({m_options.topic, m_position, wait, current.deadline, m_useFreshConnection},
+                  [this, current](read_answer answer) { onRead(std::move(answer), current); });
 }
 
-void log_follower::onRead(read_answer answer, absl::Time sentAt)
+void log_follower::onRead(read_answer answer, const call_try &answered)
 {
-    m_inFlight = false;
+    if (!endTry(answered, answer.outcome))
+        return;
+    const absl::Time sentAt = answered.sentAt;
     if (answer.outcome == store_outcome::Expired) {
         resetLoad();
         m_retryAt = m_hooks.now();
         return;
     }
     if (answer.outcome != store_outcome::Ok) {
-        m_useFreshConnection = answer.outcome == store_outcome::Unknown;
-        retryLater();
+        retryLater(answered);
         return;
     }
     m_previousCurrentAsOf = m_currentAsOf;
@@ -231,7 +278,6 @@
     if (reachedEnd)
         m_currentAsOf = std::max(m_currentAsOf, waitElapsed ? sentAt + m_options.wait : sentAt);
     m_currentAsOf = std::min(m_currentAsOf, m_hooks.now());
-    m_useFreshConnection = false;
     m_failures = 0;
     m_retryAt = absl::InfinitePast();
     if (!m_reachable) {
@@ -285,7 +331,7 @@
     done(m_position >= answer.end);
 }
 
-void log_follower::retryLater()
+void log_follower::retryLater(const call_try &ended)
 {
     ++m_failures;
     if (m_reachable) {
@@ -293,9 +339,9 @@
         if (onReachable)
             onReachable(false);
     }
-    const absl::Duration pause = std::min(MaxRetryDelay, FirstRetryDelay * m_failures);
-    const double jitter = 0.75 + 0.5 * static_cast<double>(m_hooks.random() % 1000) / 1000.0;
-    m_retryAt = m_hooks.now() + pause * jitter;
+    const absl::Time retryAt = m_hooks.now() + retryPause(m_failures, m_hooks.random());
+    // The end of a long try delays no other one.
+    m_retryAt = ended.isLong ? std::min(m_retryAt, retryAt) : retryAt;
 }
 
 } // namespace hyssoppond::batch
--- a/src/fakes/fake_store.cpp
+++ b/src/fakes/fake_store.cpp
@@ -177,12 +177,19 @@
               }
               return false;
           };
-    const auto answerLater = [this, client, clientAlive](auto done, auto answer) {
-        m_clock->after(faults[client].answerDelay, [clientAlive, done, answer] {
-            if (*clientAlive)
-                done(answer);
-        });
-    };
+    // An answer that is not complete at the deadline of its call never arrives.
+    const auto answerLater
+        = [this, client, clientAlive](auto done, auto answer, absl::Time deadline) {
+              const absl::Time completeAt = m_clock->now() + faults[client].answerDelay;
+              if (completeAt > deadline) {
+                  answer = {};
+                  answer.outcome = store_outcome::Unknown;
+              }
+              m_clock->at(std::min(completeAt, deadline), [clientAlive, done, answer] {
+                  if (*clientAlive)
+                      done(answer);
+              });
+          };
     batch::store_port port;
     port.append = [this, client, clientAlive, blockedByFault,
                    answerLater](const batch::append_request &request,
@@ -211,7 +218,8 @@
         if (m_clock->uniform() < fault.loseAnswers)
             answerUnknownAtDeadline();
         else
-            answerLater(done, answer);
+            // Tests hold an append back beyond its deadline and let it be answered then.
+            answerLater(done, answer, absl::InfiniteFuture());
     };
     port.read = [this, client, clientAlive, blockedByFault,
                  answerLater](const batch::read_request &request,
@@ -227,20 +235,22 @@
         }
         waitForRecord(
             request, m_clock->now() + request.wait,
-            [answerLater, done](const batch::read_answer &answer) { answerLater(done, answer); });
+            [answerLater, done, deadline = request.deadline](const batch::read_answer &answer) {
+                answerLater(done, answer, deadline);
+            });
     };
     port.newest = [this, blockedByFault,
                    answerLater](const batch::newest_request &request,
                                 const std::function<void(batch::newest_answer)> &done) {
         if (blockedByFault(done, batch::newest_answer {}, request.deadline))
             return;
-        answerLater(done, newestNow(request));
+        answerLater(done, newestNow(request), request.deadline);
     };
     port.join
         = [this, blockedByFault, answerLater](const batch::join_request &request,
                                               const std::function<void(batch::join_answer)> &done) {
               if (!blockedByFault(done, batch::join_answer {}, request.deadline))
-                  answerLater(done, joinNow(request));
+                  answerLater(done, joinNow(request), request.deadline);
           };
     port.leave = [this](const batch::join_request &request) {
         m_groups[request.group].members.erase(request.member);
