--- a/include/hyssoppond/batch/store_port.h
+++ b/include/hyssoppond/batch/store_port.h
@@ -1,6 +1,8 @@
 /// @file Interface to a store of keyed logs with fenced appends and group membership.
 #pragma once
 
+#include "hyssoppond/base/name_table_type.h"
+
 #include <absl/time/time.h>
 
 #include <cstdint>
@@ -22,6 +24,10 @@
     Rejected,      ///< the store does not accept this call; repeating it does not help
 };
 
+/// Names of the outcomes.
+inline constexpr name_table<store_outcome, 7> StoreOutcomeNames {
+    {"ok", "refused", "unknown", "fenced", "out_of_sequence", "expired", "rejected"}};
+
 /// One record. In a keyed topic, an empty value removes the key.
 struct stored_record
 {
--- a/include/hyssoppond/batch/store_relay_base.h
+++ b/include/hyssoppond/batch/store_relay_base.h
@@ -1,6 +1,7 @@
 /// @file Relays calls to the store through a peer while the store does not answer directly.
 #pragma once
 
+#include "hyssoppond/base/name_table_type.h"
 #include "hyssoppond/batch/peer_message_type.h"
 #include "hyssoppond/batch/store_port.h"
 
@@ -10,6 +11,32 @@
 
 namespace hyssoppond::batch {
 
+/// Calls that a process makes to the store.
+enum class store_call : std::uint8_t { Append, Read, Newest, Join };
+
+/// Names of the calls.
+inline constexpr name_table<store_call, 4> StoreCallNames {{"append", "read", "newest", "join"}};
+
+/// How a call was sent.
+enum class store_way : std::uint8_t {
+    Direct,
+    ThroughPeer, ///< a peer was asked to send it
+    ForPeer,     ///< sent to the store because a peer asked for it
+};
+
+/// Names of the ways.
+inline constexpr name_table<store_way, 3> StoreWayNames {{"direct", "through_peer", "for_peer"}};
+
+/// Outcome of one try of a call.
+struct store_try
+{
+    store_call call = store_call::Append;
+    std::string topic;
+    store_way way = store_way::Direct;
+    store_outcome outcome = store_outcome::Unknown;
+    absl::Duration age; ///< since the try was sent
+};
+
 /// State machine without I/O. A store may refuse or not answer some processes while it serves
 /// others. Appends with a producer stamp and reads are then also sent by a peer. Both are safe to
 /// send twice: the store drops a repeated append, and a read that a peer begins later proves at
@@ -32,6 +59,9 @@
     /// Called when the store stops or resumes answering this process directly.
     std::function<void(bool reachable)> onDirectReachability;
 
+    /// Called with the outcome of each try.
+    std::function<void(const store_try &)> onTry;
+
     /// Handles a message of a peer; a wake_message has no effect here.
     void receive(const peer_message &message);
     /// Notes that `topic` has records before `end`. A read that still waits for them is overdue and
@@ -57,6 +87,7 @@
         bool mayHaveRun = false; ///< a try got no answer
         unsigned peerTries = 0;  ///< number of peers that were asked
         absl::Time sentAt;
+        absl::Time relayedAt;          ///< last try by a peer
         absl::Time relayAt;            ///< next try by a peer
         std::uint64_t expectedEnd = 0; ///< of the topic of a read, when the read was sent
         absl::Time deadline;
@@ -82,6 +113,9 @@
     void serve(const relayed_append &call);
     void serve(const relayed_read &call);
     void reply(const std::string &address, const peer_message &message) const;
+    void noteTry(store_call call, const std::string &topic, store_way way, store_outcome outcome,
+                 absl::Time sentAt) const;
+    void noteRelayed(const operation &op, store_outcome outcome) const;
 
     std::string m_ownAddress;
     store_port *m_direct;
--- a/src/batch/store_relay.cpp
+++ b/src/batch/store_relay.cpp
@@ -100,7 +100,13 @@
     store_port port;
     port.append = [this](append_request request, std::function<void(append_answer)> done) {
         if (!request.producer || sizeOf(request) > MaxPeerMessageBytes) {
-            m_direct->append(std::move(request), std::move(done));
+            m_direct->append(request,
+                             [this, topic = request.topic, sentAt = m_hooks.now(),
+                              done = std::move(done)](const append_answer &answer) {
+                                 noteTry(store_call::Append, topic, store_way::Direct,
+                                         answer.outcome, sentAt);
+                                 done(answer);
+                             });
             return;
         }
         operation op;
@@ -117,10 +123,22 @@
         start(std::move(op));
     };
     port.newest = [this](newest_request request, std::function<void(newest_answer)> done) {
-        m_direct->newest(std::move(request), std::move(done));
+        m_direct->newest(request,
+                         [this, topic = request.topic, sentAt = m_hooks.now(),
+                          done = std::move(done)](newest_answer answer) {
+                             noteTry(store_call::Newest, topic, store_way::Direct, answer.outcome,
+                                     sentAt);
+                             done(std::move(answer));
+                         });
     };
     port.join = [this](join_request request, std::function<void(join_answer)> done) {
-        m_direct->join(std::move(request), std::move(done));
+        m_direct->join(request,
+                       [this, topic = request.topic, sentAt = m_hooks.now(),
+                        done = std::move(done)](const join_answer &answer) {
+                           noteTry(store_call::Join, topic, store_way::Direct, answer.outcome,
+                                   sentAt);
+                           done(answer);
+                       });
     };
     port.leave = [this](join_request request) { m_direct->leave(std::move(request)); };
     return port;
@@ -153,21 +171,25 @@
 void store_relay::sendDirect(std::uint64_t id, const operation &op)
 {
     if (op.onAppended) {
-        m_direct->append(op.append, [this, id, sentAt = op.sentAt](const append_answer &answer) {
-            if (isSettled(answer.outcome)) {
-                noteAnswerTime(m_hooks.now() - sentAt);
-                setDirectUnreachable(false);
-            }
-            if (isSettled(answer.outcome) && m_operations.contains(id))
-                finish(id, answer, {});
-            else
-                onDirectOutcome(id, answer.outcome);
-        });
+        m_direct->append(
+            op.append,
+            [this, id, topic = op.append.topic, sentAt = op.sentAt](const append_answer &answer) {
+                noteTry(store_call::Append, topic, store_way::Direct, answer.outcome, sentAt);
+                if (isSettled(answer.outcome)) {
+                    noteAnswerTime(m_hooks.now() - sentAt);
+                    setDirectUnreachable(false);
+                }
+                if (isSettled(answer.outcome) && m_operations.contains(id))
+                    finish(id, answer, {});
+                else
+                    onDirectOutcome(id, answer.outcome);
+            });
         return;
     }
     m_direct->read(op.read,
                    [this, id, topic = op.read.topic, expectedEnd = op.expectedEnd,
                     wait = op.read.wait, sentAt = op.sentAt](read_answer answer) {
+                       noteTry(store_call::Read, topic, store_way::Direct, answer.outcome, sentAt);
                        if (isSettled(answer.outcome)) {
                            // With records, the store may have answered at any time of the wait.
                            if (answer.records.empty() || wait == absl::ZeroDuration())
@@ -213,6 +235,8 @@
     operation &op = m_operations.at(id);
     const absl::Time now = m_hooks.now();
     // A peer's call that got no answer may have been carried out.
+    if (op.relayPending)
+        noteRelayed(op, store_outcome::Unknown);
     op.mayHaveRun = op.mayHaveRun || op.relayPending;
     op.relayPending = false;
     op.relayAt = absl::InfiniteFuture();
@@ -225,6 +249,7 @@
     const std::string &peer = addresses[(op.firstPeer + op.peerTries) % addresses.size()];
     ++op.peerTries;
     op.relayPending = true;
+    op.relayedAt = now;
     const absl::Duration wait = std::min(op.read.wait, MaxRelayedWait);
     op.relayAt = now + (op.onAppended ? absl::ZeroDuration() : wait) + PeerAnswerTimeout;
     if (op.onAppended)
@@ -240,6 +265,7 @@
 void store_relay::onRelayOutcome(std::uint64_t id, store_outcome outcome)
 {
     operation &op = m_operations.at(id);
+    noteRelayed(op, outcome);
     op.relayPending = false;
     op.mayHaveRun = op.mayHaveRun || outcome == store_outcome::Unknown;
     tryPeer(id);
@@ -307,6 +333,8 @@
             continue;
         operation &op = found->second;
         if (op.deadline <= now) {
+            if (op.relayPending)
+                noteRelayed(op, store_outcome::Unknown);
             op.mayHaveRun = op.mayHaveRun || op.directPending || op.relayPending;
             op.directPending = false;
             op.relayPending = false;
@@ -340,6 +368,7 @@
             return;
         }
         ++m_relayed;
+        noteRelayed(found->second, appended->answer.outcome);
         setDirectUnreachable(true);
         finish(appended->id, appended->answer, {});
     } else if (const auto *records = std::get_if<relayed_read_reply>(&message)) {
@@ -351,6 +380,7 @@
             return;
         }
         ++m_relayed;
+        noteRelayed(found->second, records->answer.outcome);
         setDirectUnreachable(true);
         finish(records->id, {}, records->answer);
     }
@@ -361,6 +391,20 @@
     send(address, encodePeerMessage(message));
 }
 
+void store_relay::noteTry(store_call call, const std::string &topic, store_way way,
+                          store_outcome outcome, absl::Time sentAt) const
+{
+    if (onTry)
+        onTry({call, topic, way, outcome, m_hooks.now() - sentAt});
+}
+
+void store_relay::noteRelayed(const operation &op, store_outcome outcome) const
+{
+    const store_call call = op.onAppended ? store_call::Append : store_call::Read;
+    noteTry(call, op.onAppended ? op.append.topic : op.read.topic, store_way::ThroughPeer, outcome,
+            op.relayedAt);
+}
+
 void store_relay::serve(const relayed_append &call)
 {
     relayed_append_reply answer {call.id, {}};
@@ -377,7 +421,10 @@
         = m_hooks.now() + std::min(absl::Milliseconds(call.answerTimeoutMs), MaxServedTime);
     ++m_serving;
     m_direct->append(std::move(request),
-                     [this, to = call.replyTo, answer](const append_answer &storeAnswer) mutable {
+                     [this, to = call.replyTo, topic = call.topic, sentAt = m_hooks.now(),
+                      answer](const append_answer &storeAnswer) mutable {
+                         noteTry(store_call::Append, topic, store_way::ForPeer, storeAnswer.outcome,
+                                 sentAt);
                          --m_serving;
                          answer.answer = storeAnswer;
                          reply(to, answer);
@@ -400,7 +447,10 @@
         + std::min(absl::Milliseconds(call.answerTimeoutMs), MaxServedTime);
     ++m_serving;
     m_direct->read(std::move(request),
-                   [this, to = call.replyTo, answer](read_answer storeAnswer) mutable {
+                   [this, to = call.replyTo, topic = call.topic, sentAt = m_hooks.now(),
+                    answer](read_answer storeAnswer) mutable {
+                       noteTry(store_call::Read, topic, store_way::ForPeer, storeAnswer.outcome,
+                               sentAt);
                        --m_serving;
                        truncate(&storeAnswer);
                        answer.answer = std::move(storeAnswer);
