A heartbeat counts for when it was sent, not for when it was read

What callers saw: an agent that had ended was reinstated seconds later, and a member of a gang was ordered there; the other members waited 4 s for it and ended alone.

Cause: the store may carry out an append seconds late. The decider took the time of reading for the time of sending.

Why it works: each heartbeat names the last one of its process that the store has answered, and when that answer came and it was sent itself, on the process's own clock. A read that ended at or before the named offset began before that answer, so the heartbeat was sent no earlier than the start of that read and the time in between, less 2%. No clocks of two machines are compared. The latest bound of a process stays valid for its later heartbeats. New work and reinstatement need this bound; evictions and the wait before runs are given away go on counting from the reading, where later is the safe side. A process sends its second heartbeat as soon as the first one is answered, so that it is usable as soon as before.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -189,6 +189,7 @@
     store_port *m_store;
     item_worker_port *m_worker;
     loop_hooks m_hooks;
+    absl::Time m_startedAt;
     log_follower m_follower;
     log_writer m_writer;
 
@@ -256,6 +257,9 @@
     /// Until when the worker may carry out an order that got no answer and is not superseded yet.
     absl::Time m_lateOrderUntil = absl::InfinitePast();
     absl::Time m_heartbeatStoredAt = absl::InfinitePast(); ///< when the newest stored one was sent
+    /// Offset of the heartbeat that was answered last, and when.
+    std::uint64_t m_storedHeartbeat = NoHeartbeatStored;
+    absl::Time m_heartbeatAnsweredAt = absl::InfinitePast();
     std::uint64_t m_startsSent = 0;
     bool m_renewalDue = true; ///< the next poll extends the lease and does not wait
     granted_leases m_grants;
--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "hyssoppond/batch/batch_scheduler_base.h"
+#include "hyssoppond/batch/heartbeat_ages_base.h"
 #include "hyssoppond/batch/log_follower_base.h"
 #include "hyssoppond/batch/log_writer_base.h"
 #include "hyssoppond/batch/peer_message_type.h"
@@ -90,8 +91,13 @@
         /// Last heartbeat or, if later, the end of a gap in reading them or the time at which the
         /// agent was first seen.
         absl::Time silentSince;
-        /// Last heartbeat that was read without a gap and so was sent shortly before.
-        absl::Time recentHeartbeatAt = absl::InfinitePast();
+        /// When the last heartbeat was read, if that was without a gap. Runs are given away later
+        /// for it, so it must not be earlier than the heartbeat.
+        absl::Time heartbeatReadAt = absl::InfinitePast();
+        /// The agent lived at this time or later. It gets work and is reinstated for it, so it must
+        /// not be later than the sending of a heartbeat.
+        absl::Time livedAt = absl::InfinitePast();
+        absl::Time watchedSince = absl::InfinitePast();
         bool evictionQueued = false;
     };
 
@@ -114,8 +120,12 @@
     void stepDown(const char *why);
     void startDeciding();
     void readHeartbeats();
-    void onHeartbeats(const read_answer &answer);
+    void onHeartbeats(const read_answer &answer, absl::Time sentAt);
     void watchAgents();
+    /// The watch of `agent`, which begins now if there is none.
+    agent_watch &watchOf(const process_id &agent);
+    /// Whether no work may be ordered from the agent of `watch`.
+    bool isSilent(const agent_watch &watch) const;
     /// Records that `agent` is evicted or reinstated. Until the outcome is known, nothing else is
     /// decided about the agent.
     void recordEviction(const process_id &agent, const batch_record &record);
@@ -167,6 +177,7 @@
     absl::Time m_nextHeartbeatReadAt = absl::InfinitePast();
     /// Last read that reached the newest heartbeat.
     absl::Time m_heartbeatsReadAt = absl::InfinitePast();
+    heartbeat_ages m_heartbeatAges;
     std::map<process_id, agent_watch> m_watches;
     /// When the eviction of an agent was read, which is after it was recorded. Every entry keeps
     /// it, because otherwise the wait for the end of the last lease would start again with each new
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -211,6 +211,9 @@
 /// Errors: those of decodeChecksummed.
 result<batch_record> decodeRecord(std::string_view bytes);
 
+/// Value of agent_heartbeat::storedOffset while no heartbeat of the process was answered.
+inline constexpr std::uint64_t NoHeartbeatStored = std::numeric_limits<std::uint64_t>::max();
+
 /// An agent is alive. Stored in a topic apart from the journal, which only the decider reads.
 struct agent_heartbeat
 {
@@ -218,10 +221,23 @@
     unix_ms workerStartMs = 0; ///< incarnation of its worker
     /// Runs without progress, and for how long in ms.
     std::vector<std::pair<std::string, std::uint32_t>> stalled;
+    incarnation_number sender = 0; ///< process of the agent, whose steady clock the times are of
+    std::int64_t sentUs = 0;
+    /// Offset of the last earlier heartbeat of the process that the store has answered.
+    std::uint64_t storedOffset = NoHeartbeatStored;
+    std::int64_t storedUs = 0; ///< when the store's answer to it was received
     template<class archive>
-    void serialize(archive &ar)
+    void save(archive &ar) const
+    {
+        ar(agent, workerStartMs, stalled, sender, sentUs, storedOffset, storedUs);
+    }
+    /// Heartbeats of earlier versions end before sender.
+    template<class archive>
+    void load(archive &ar)
     {
         ar(agent, workerStartMs, stalled);
+        if (ar.remaining() != 0)
+            ar(sender, sentUs, storedOffset, storedUs);
     }
 };
 
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -50,6 +50,7 @@
     , m_store(store)
     , m_worker(worker)
     , m_hooks(std::move(hooks))
+    , m_startedAt(m_hooks.now())
     , m_follower({m_options.journalTopic, JournalWait}, store, m_hooks)
     , m_writer(
           {m_options.journalTopic, absl::StrCat(m_options.agent.str(), "/journal"), clockEpoch()},
@@ -223,6 +224,12 @@
     agent_heartbeat content;
     content.agent = m_options.agent;
     content.workerStartMs = m_description->workerStartMs;
+    content.sender = m_options.incarnation;
+    content.sentUs = absl::ToInt64Microseconds(m_heartbeatSentAt - m_startedAt);
+    if (m_storedHeartbeat != NoHeartbeatStored) {
+        content.storedOffset = m_storedHeartbeat;
+        content.storedUs = absl::ToInt64Microseconds(m_heartbeatAnsweredAt - m_startedAt);
+    }
     append_request request;
     request.topic = m_options.heartbeatTopic;
     request.records.push_back({"", encodeAgentHeartbeat(content), 0});
@@ -233,8 +240,14 @@
     // A lost heartbeat is not repeated; the next one replaces it.
     m_store->append(std::move(request),
                     [this, sentAt = m_hooks.now()](const append_answer &answer) {
-                        if (answer.outcome == store_outcome::Ok)
-                            m_heartbeatStoredAt = std::max(m_heartbeatStoredAt, sentAt);
+                        if (answer.outcome != store_outcome::Ok)
+                            return;
+                        m_heartbeatStoredAt = std::max(m_heartbeatStoredAt, sentAt);
+                        // Only a heartbeat that names an earlier one tells when it was sent.
+                        if (m_storedHeartbeat == NoHeartbeatStored)
+                            m_heartbeatAt = m_hooks.now();
+                        m_storedHeartbeat = answer.offset;
+                        m_heartbeatAnsweredAt = m_hooks.now();
                     });
 }
 
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -29,6 +29,9 @@
 /// An agent without a heartbeat for this time gets no new work.
 constexpr absl::Duration SilentAfter = absl::Milliseconds(2800);
 
+/// The same for the time since a heartbeat was sent, of which only an early bound is known.
+constexpr absl::Duration MaxHeartbeatAge = EvictAfter;
+
 /// After a longer gap between two reads of the heartbeats, their absence tells nothing about the
 /// agents, and the silence of each counts anew.
 constexpr absl::Duration MaxHeartbeatReadGap = absl::Milliseconds(2000);
@@ -335,13 +338,13 @@
     m_nextHeartbeatReadAt = m_hooks.now() + HeartbeatReadInterval;
     m_store->read({m_options.heartbeatTopic, m_heartbeatPosition, absl::ZeroDuration(),
                    m_hooks.now() + StoreCallTimeout, m_readOnFreshConnection},
-                  [this](const read_answer &answer) {
+                  [this, sentAt = m_hooks.now()](const read_answer &answer) {
                       m_readingHeartbeats = false;
-                      onHeartbeats(answer);
+                      onHeartbeats(answer, sentAt);
                   });
 }
 
-void batch_decider::onHeartbeats(const read_answer &answer)
+void batch_decider::onHeartbeats(const read_answer &answer, absl::Time sentAt)
 {
     m_readOnFreshConnection = answer.outcome == store_outcome::Unknown;
     if (answer.outcome == store_outcome::Expired) {
@@ -364,27 +367,46 @@
             logDecision("beat ignored", "", heartbeat.error().message);
             continue;
         }
-        agent_watch &watch = m_watches[heartbeat->agent];
+        agent_watch &watch = watchOf(heartbeat->agent);
         watch.silentSince = now;
         if (!gap)
-            watch.recentHeartbeatAt = now;
+            watch.heartbeatReadAt = now;
+        const absl::Time sentAfter = m_heartbeatAges.sentAfter(*heartbeat, stored.offset);
+        watch.livedAt = std::max(watch.livedAt, std::min(sentAfter, now));
     }
+    m_heartbeatAges.noteRead(sentAt, answer.end);
     if (m_heartbeatPosition >= answer.end)
         m_heartbeatsReadAt = now;
+    else if (!answer.records.empty())
+        m_nextHeartbeatReadAt = now;
     if (m_phase == phase::Deciding)
         watchAgents();
 }
 
+batch_decider::agent_watch &batch_decider::watchOf(const process_id &agent)
+{
+    const auto [it, added] = m_watches.try_emplace(agent);
+    if (added) {
+        it->second.silentSince = m_hooks.now();
+        it->second.watchedSince = m_hooks.now();
+    }
+    return it->second;
+}
+
+bool batch_decider::isSilent(const agent_watch &watch) const
+{
+    const absl::Time now = m_hooks.now();
+    return now - watch.silentSince > SilentAfter
+        || now - std::max(watch.livedAt, watch.watchedSince) > MaxHeartbeatAge;
+}
+
 void batch_decider::watchAgents()
 {
     if (m_journal->position() < m_recordedTo || isBehind())
         return; // the state lacks evictions or reinstatements of this decider
     const absl::Time now = m_hooks.now();
     for (const auto &[agent, announced] : m_state->agents()) {
-        const auto [it, added] = m_watches.try_emplace(agent);
-        agent_watch &watch = it->second;
-        if (added)
-            watch.silentSince = now;
+        const agent_watch &watch = watchOf(agent);
         const bool evicted = m_state->isEvicted(agent);
         const auto knownEviction = m_evictionReadAt.find(agent);
         const absl::Time evictionReadAt
@@ -395,13 +417,13 @@
             const batch_record eviction = agent_evicted {agent, true};
             logRecord(eviction, absl::StrCat("no heartbeat for ", absl::FormatDuration(silent)));
             recordEviction(agent, eviction);
-        } else if (evicted && now - watch.recentHeartbeatAt < SilentAfter
-                   && watch.recentHeartbeatAt > evictionReadAt && !watch.evictionQueued) {
+        } else if (evicted && !isSilent(watch) && watch.livedAt > evictionReadAt
+                   && !watch.evictionQueued) {
             const batch_record reinstatement = agent_evicted {agent, false};
             logRecord(reinstatement, "heartbeats received again");
             recordEviction(agent, reinstatement);
         } else if (evicted && holdsRuns && m_heartbeatsReadAt != absl::InfinitePast()
-                   && now >= runsLostAt(evictionReadAt, watch.recentHeartbeatAt)
+                   && now >= runsLostAt(evictionReadAt, watch.heartbeatReadAt)
                    && !watch.evictionQueued) {
             declareRunsLost(agent);
         }
@@ -457,7 +479,7 @@
     input.now = m_hooks.now();
     input.nowMs = absl::ToUnixMillis(m_hooks.wallNow());
     for (const auto &[agent, watch] : m_watches) {
-        if (input.now - watch.silentSince > SilentAfter)
+        if (isSilent(watch))
             input.silent.insert(agent);
     }
     return input;
