A new decider counts the heartbeats since an eviction for the wait

What callers saw: nothing yet; two runs of one item were possible. Runs were given away while a lease of their agent might still be in force.

Cause: an agent relies on it that a stored heartbeat keeps its runs from being given away for 15.8 s. A decider did not count the heartbeats of its first read, nor of the first one after a gap of 2 s, as they may be old. But some may be later than the eviction, or unread when it was decided.

Evidence: both tests fail with the former rule: batch_heartbeat_test.cpp:293: Expected: (lostAt) >= (runsLostAt(heartbeatAt, heartbeatAt)) ... 11.87s (new decider) batch_heartbeat_test.cpp:319: the same, 11.19s (gap in one term) where 15.8 s after the heartbeat are due.

Why it works: the record of an eviction names the end of the heartbeats that its decider had read. Those before it were read at least 3.3 s before the eviction, which the wait of 12.5 s covers. Later ones count from the reading of whoever decides, whether in its first read or not. An entry that decides again reads them again, as an earlier term may have read some. Runs are given away only after a read that reached the newest heartbeat. A record of an earlier version has no such end and is read as 0: all heartbeats count, which is the safe side.

Measured in virtual time: both tests pass, and without a heartbeat since the eviction the runs are given away no later than before, within 1 s after the 12.5 s (newDeciderDoesNotCountTheHeartbeatsBeforeTheEviction, which also passes on the code before).

--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -52,7 +52,7 @@
     void onReloading()
     {
         m_reloading = true;
-        m_evictionReadAt.clear();
+        m_evictions.clear();
         m_scheduler.forgetRunTimes();
     }
     /// To be called after the journal was reloaded.
@@ -91,8 +91,8 @@
         /// Last heartbeat or, if later, the end of a gap in reading them or the time at which the
         /// agent was first seen.
         absl::Time silentSince;
-        /// When the last heartbeat was read, if that was without a gap. Runs are given away later
-        /// for it, so it must not be earlier than the heartbeat.
+        /// When the last heartbeat was read that the decider which evicted the agent, if it is
+        /// evicted, had not read then. Runs are given away later for it.
         absl::Time heartbeatReadAt = absl::InfinitePast();
         /// The agent lived at this time or later. It gets work and is reinstated for it, so it must
         /// not be later than the sending of a heartbeat.
@@ -101,6 +101,12 @@
         bool evictionQueued = false;
     };
 
+    struct known_eviction
+    {
+        absl::Time readAt;                ///< which is after it was recorded
+        std::uint64_t heartbeatsRead = 0; ///< see agent_evicted
+    };
+
     void logDecision(const char *decision, const std::string &item,
                      const std::string &detail) const;
     void join();
@@ -121,7 +127,8 @@
     void startDeciding();
     void readHeartbeats();
     void onHeartbeats(const read_answer &answer, absl::Time sentAt);
-    void watchAgents();
+    /// `isComplete` tells whether all heartbeats were read.
+    void watchAgents(bool isComplete);
     /// The watch of `agent`, which begins now if there is none.
     agent_watch &watchOf(const process_id &agent);
     /// Whether no work may be ordered from the agent of `watch`.
@@ -179,10 +186,9 @@
     absl::Time m_heartbeatsReadAt = absl::InfinitePast();
     heartbeat_ages m_heartbeatAges;
     std::map<process_id, agent_watch> m_watches;
-    /// When the eviction of an agent was read, which is after it was recorded. Every entry keeps
-    /// it, because otherwise the wait for the end of the last lease would start again with each new
-    /// decider.
-    std::map<process_id, absl::Time> m_evictionReadAt;
+    /// Every entry keeps the evictions, because otherwise the wait for the end of the last lease
+    /// would start again with each new decider.
+    std::map<process_id, known_eviction> m_evictions;
 };
 
 } // namespace hyssoppond::batch
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -177,10 +177,20 @@
 {
     process_id agent;
     bool evicted = false; ///< false: the agent is reinstated
+    /// End of the heartbeats that the decider had read when it decided; 0 if it is not known.
+    std::uint64_t heartbeatsRead = 0;
     template<class archive>
-    void serialize(archive &ar)
+    void save(archive &ar) const
+    {
+        ar(agent, evicted, heartbeatsRead);
+    }
+    /// Records of earlier versions end before heartbeatsRead.
+    template<class archive>
+    void load(archive &ar)
     {
         ar(agent, evicted);
+        if (ar.remaining() != 0)
+            ar(heartbeatsRead);
     }
 };
 
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -320,6 +320,9 @@
     m_watches.clear();
     m_nextHeartbeatReadAt = m_hooks.now();
     m_heartbeatsReadAt = absl::InfinitePast();
+    // An earlier term may have read heartbeats that are later than an eviction since then.
+    for (const auto &[agent, eviction] : m_evictions)
+        m_heartbeatPosition = std::min(m_heartbeatPosition, eviction.heartbeatsRead);
 }
 
 void batch_decider::leave()
@@ -369,18 +372,20 @@
         }
         agent_watch &watch = watchOf(heartbeat->agent);
         watch.silentSince = now;
-        if (!gap)
+        const auto eviction = m_evictions.find(heartbeat->agent);
+        if (eviction == m_evictions.end() || stored.offset >= eviction->second.heartbeatsRead)
             watch.heartbeatReadAt = now;
         const absl::Time sentAfter = m_heartbeatAges.sentAfter(*heartbeat, stored.offset);
         watch.livedAt = std::max(watch.livedAt, std::min(sentAfter, now));
     }
     m_heartbeatAges.noteRead(sentAt, answer.end);
-    if (m_heartbeatPosition >= answer.end)
+    const bool isComplete = m_heartbeatPosition >= answer.end;
+    if (isComplete)
         m_heartbeatsReadAt = now;
     else if (!answer.records.empty())
         m_nextHeartbeatReadAt = now;
     if (m_phase == phase::Deciding)
-        watchAgents();
+        watchAgents(isComplete);
 }
 
 batch_decider::agent_watch &batch_decider::watchOf(const process_id &agent)
@@ -400,7 +405,7 @@
         || now - std::max(watch.livedAt, watch.watchedSince) > MaxHeartbeatAge;
 }
 
-void batch_decider::watchAgents()
+void batch_decider::watchAgents(bool isComplete)
 {
     if (m_journal->position() < m_recordedTo || isBehind())
         return; // the state lacks evictions or reinstatements of this decider
@@ -408,21 +413,21 @@
     for (const auto &[agent, announced] : m_state->agents()) {
         const agent_watch &watch = watchOf(agent);
         const bool evicted = m_state->isEvicted(agent);
-        const auto knownEviction = m_evictionReadAt.find(agent);
+        const auto eviction = m_evictions.find(agent);
         const absl::Time evictionReadAt
-            = knownEviction == m_evictionReadAt.end() ? now : knownEviction->second;
+            = eviction == m_evictions.end() ? now : eviction->second.readAt;
         const absl::Duration silent = now - watch.silentSince;
         const bool holdsRuns = !m_state->runsOn(agent).empty();
         if (!evicted && holdsRuns && silent >= EvictAfter && !watch.evictionQueued) {
-            const batch_record eviction = agent_evicted {agent, true};
-            logRecord(eviction, absl::StrCat("no heartbeat for ", absl::FormatDuration(silent)));
-            recordEviction(agent, eviction);
+            const batch_record record = agent_evicted {agent, true, m_heartbeatPosition};
+            logRecord(record, absl::StrCat("no heartbeat for ", absl::FormatDuration(silent)));
+            recordEviction(agent, record);
         } else if (evicted && !isSilent(watch) && watch.livedAt > evictionReadAt
                    && !watch.evictionQueued) {
-            const batch_record reinstatement = agent_evicted {agent, false};
+            const batch_record reinstatement = agent_evicted {agent, false, m_heartbeatPosition};
             logRecord(reinstatement, "heartbeats received again");
             recordEviction(agent, reinstatement);
-        } else if (evicted && holdsRuns && m_heartbeatsReadAt != absl::InfinitePast()
+        } else if (evicted && holdsRuns && isComplete
                    && now >= runsLostAt(evictionReadAt, watch.heartbeatReadAt)
                    && !watch.evictionQueued) {
             declareRunsLost(agent);
@@ -448,9 +453,9 @@
 void batch_decider::onEviction(const agent_evicted &record)
 {
     if (record.evicted)
-        m_evictionReadAt[record.agent] = m_hooks.now();
+        m_evictions[record.agent] = {m_hooks.now(), record.heartbeatsRead};
     else
-        m_evictionReadAt.erase(record.agent);
+        m_evictions.erase(record.agent);
 }
 
 void batch_decider::declareRunsLost(const process_id &agent)
@@ -463,7 +468,7 @@
                 lostMembers.push_back(
                     {run_ended {unit, run.run, member.member.index, agent, run_end::Lost, "", true},
                      absl::StrCat(agent.str(), ", eviction read ",
-                                  absl::FormatDuration(m_hooks.now() - m_evictionReadAt[agent]),
+                                  absl::FormatDuration(m_hooks.now() - m_evictions[agent].readAt),
                                   " ago")});
         }
     }
--- a/tests/batch_heartbeat_test.cpp
+++ b/tests/batch_heartbeat_test.cpp
@@ -4,6 +4,7 @@
 
 #include "hyssoppond/base/checksummed_archive_func.h"
 #include "hyssoppond/batch/heartbeat_ages_base.h"
+#include "hyssoppond/batch/lease_rule_func.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -83,6 +84,33 @@
     EXPECT_EQ(boundOf(heartbeatOf(2, 2'000, 9, 1'500), 14), 10'490.0);
 }
 
+/// The record before it named the heartbeats that were read.
+struct earlier_eviction
+{
+    process_id agent {"agent"};
+    bool evicted = true;
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(agent, evicted);
+    }
+};
+
+// Guards against evictions that are not read, and leases that go on after them, because an entry of
+// an earlier version recorded them.
+TEST(heartbeat_codec_test, evictionOfAnEarlierVersionIsDecoded)
+{
+    const std::variant<job_submitted, job_cancelled, job_failed, run_ordered, run_stopping,
+                       run_ended, process_started, agent_announced, earlier_eviction>
+        record = earlier_eviction {};
+    const result<batch_record> decoded = decodeRecord(encodeChecksummed(1, record));
+    ASSERT_TRUE(decoded);
+    const auto *eviction = std::get_if<agent_evicted>(&*decoded);
+    ASSERT_NE(eviction, nullptr);
+    EXPECT_TRUE(eviction->evicted);
+    EXPECT_EQ(eviction->heartbeatsRead, 0U);
+}
+
 // Guards against agents that are evicted while the processes of a site are replaced one by one:
 // a heartbeat of an earlier version has no times.
 TEST(heartbeat_codec_test, heartbeatOfAnEarlierVersionIsDecoded)
@@ -176,6 +204,37 @@
         ASSERT_TRUE(isEvicted("agent-0"));
     }
 
+    /// When the runs of agent-0 were declared lost, within `limit` from now; InfiniteFuture if not.
+    absl::Time runUntilRunsAreLost(absl::Duration limit)
+    {
+        const absl::Time until = m_site->clock.now() + limit;
+        std::uint64_t offset = m_site->store.endOf(JournalTopic);
+        while (m_site->clock.now() < until) {
+            runFor(absl::Milliseconds(10));
+            const auto &records = m_site->store.recordsOf(JournalTopic);
+            for (; offset < records.size(); ++offset) {
+                if (records[offset].key.starts_with("l:"))
+                    return m_site->clock.now();
+            }
+        }
+        return absl::InfiniteFuture();
+    }
+
+    /// Runs until the next heartbeat of agent-0 is stored.
+    void runUntilNextHeartbeat()
+    {
+        const auto &records = m_site->store.recordsOf(HeartbeatTopic);
+        std::size_t offset = records.size();
+        for (bool stored = false; !stored;) {
+            runFor(absl::Milliseconds(1));
+            for (; offset < records.size(); ++offset) {
+                const result<agent_heartbeat> heartbeat
+                    = decodeAgentHeartbeat(records[offset].value);
+                stored = stored || (heartbeat && heartbeat->agent == process_id("agent-0"));
+            }
+        }
+    }
+
     std::unique_ptr<batch_site> m_site;
     std::map<std::string, std::function<void(append_request, std::function<void(append_answer)>)>>
         m_append; ///< of the agents whose heartbeats are late
@@ -214,6 +273,72 @@
     EXPECT_EQ(ordersTo("agent-0", end), 0U) << m_site->decisionsAbout(batch_site::idOf(1));
 }
 
+// Guards against runs that are given away while a lease of their agent may be in force: it rests on
+// a heartbeat that the decider before had not read when it evicted the agent, and that the new one
+// did not count, as it was in its first read.
+TEST_F(batch_heartbeat_test, newDeciderCountsTheHeartbeatsSinceTheEviction)
+{
+    start(2);
+    submit(1, 2, false);
+    runFor(absl::Seconds(2));
+    ASSERT_EQ(m_site->history.starts, 2U);
+    delayHeartbeats("agent-0", absl::Hours(1));
+    runUntilEvicted();
+    m_site->kill("entry-0");
+    delayNoHeartbeats();
+    runUntilNextHeartbeat();
+    m_site->kill("agent-0");
+    const absl::Time heartbeatAt = m_site->clock.now();
+    const absl::Time lostAt = runUntilRunsAreLost(absl::Seconds(30));
+    EXPECT_GE(lostAt, runsLostAt(heartbeatAt, heartbeatAt)) << lostAt
+            - heartbeatAt << "\n" << m_site->decisionsAbout(batch_site::idOf(1));
+    EXPECT_LT(lostAt, absl::InfiniteFuture());
+}
+
+// Guards against the same within the term of one decider that could not read the heartbeats for
+// some seconds.
+TEST_F(batch_heartbeat_test, deciderCountsTheHeartbeatsThatItReadsAfterAGap)
+{
+    start(2);
+    submit(1, 2, false);
+    runFor(absl::Seconds(2));
+    ASSERT_EQ(m_site->history.starts, 2U);
+    delayHeartbeats("agent-0", absl::Hours(1));
+    runUntilEvicted();
+    m_site->store.faults["entry-0"].silentReadsOf = HeartbeatTopic;
+    m_site->datagramLoss = 1.0;
+    runFor(absl::Seconds(1));
+    delayNoHeartbeats();
+    runUntilNextHeartbeat();
+    m_site->kill("agent-0");
+    const absl::Time heartbeatAt = m_site->clock.now();
+    runFor(absl::Seconds(3));
+    m_site->store.faults["entry-0"].silentReadsOf.clear();
+    m_site->datagramLoss = 0.0;
+    const absl::Time lostAt = runUntilRunsAreLost(absl::Seconds(30));
+    EXPECT_GE(lostAt, runsLostAt(heartbeatAt, heartbeatAt)) << lostAt
+            - heartbeatAt << "\n" << m_site->decisionsAbout(batch_site::idOf(1));
+    EXPECT_LT(lostAt, absl::InfiniteFuture());
+}
+
+// Guards against runs of an agent that is lost for good and that wait longer because the decider
+// has changed, although no heartbeat has come since the eviction.
+TEST_F(batch_heartbeat_test, newDeciderDoesNotCountTheHeartbeatsBeforeTheEviction)
+{
+    start(2);
+    submit(1, 2, false);
+    runFor(absl::Seconds(2));
+    ASSERT_EQ(m_site->history.starts, 2U);
+    m_site->kill("agent-0");
+    runUntilEvicted();
+    const absl::Time evictedAt = m_site->clock.now();
+    m_site->kill("entry-0");
+    const absl::Time lostAt = runUntilRunsAreLost(absl::Seconds(30));
+    EXPECT_GE(lostAt, leasesOverAt(evictedAt));
+    EXPECT_LE(lostAt, leasesOverAt(evictedAt) + absl::Seconds(1))
+        << m_site->decisionsAbout(batch_site::idOf(1));
+}
+
 // Guards against living agents that stay evicted, or get no work, long after the store was so slow
 // that all heartbeats were late.
 TEST_F(batch_heartbeat_test, livingAgentsAreBackSoonAfterTheirHeartbeatsWereLate)
