Heartbeats of a worker that arrive late change nothing

A heartbeat that was sent before the draining ones arrived after them, and the agent took it for the present state: it announced the worker as ready, and the decider ordered work for it.

A heartbeat is evidence of the moment at which it was sent. The worker numbers its heartbeats within one incarnation; the decoder did not read the number. The agent now keeps the newest heartbeat that it used, also after the worker has left, and the one on which a question to the worker rests. A heartbeat of the same incarnation that is not newer than either changes nothing (`heartbeat outdated` in the log), and is confirmed like the others. Numbers of different incarnations do not compare. A missing or odd number is refused like other odd fields.

A heartbeat that came while the worker was asked about an earlier one of the same incarnation was dropped with the answer; the later one is used now.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -33,8 +33,8 @@
     batch_agent(batch_agent_options options, store_port *store, item_worker_port *worker,
                 loop_hooks hooks);
 
-    /// Handles a heartbeat of the worker.
-    void onHeartbeat(const worker_description &worker);
+    /// Handles a heartbeat of the worker. It may arrive after later ones.
+    void onHeartbeat(const worker_heartbeat &heartbeat);
     /// Handles the notice of the worker that it is about to end. The worker ends after `done` was
     /// called, which is as soon as its runs have been stopped, or after a short time.
     void onWorkerLeft(const std::string &worker, std::function<void()> done = {});
@@ -155,7 +155,7 @@
     void poll();
     /// Asks the worker whether it is the incarnation of m_candidate.
     void probe();
-    void onProbe(const worker_description &candidate, const poll_answer &answer);
+    void onProbe(const worker_heartbeat &heartbeat, const poll_answer &answer);
     void onPoll(const poll_answer &answer, std::uint64_t sentToken, std::uint64_t workerIncarnation,
                 absl::Time sentAt);
     /// Takes the clock from an answer to an order for `workerIncarnation`. That of another
@@ -196,7 +196,9 @@
     std::optional<worker_description> m_description;
     /// Another incarnation that a report named. The report may be delayed or of another writer, so
     /// it replaces m_description only when the worker itself has answered under that name.
-    std::optional<worker_description> m_candidate;
+    std::optional<worker_heartbeat> m_candidate;
+    /// Newest one that was used. It outlives m_description, as an older one may still arrive.
+    std::optional<worker_heartbeat> m_newestHeartbeat;
     bool m_probedLast = false; ///< the last poll was a probe without an answer
     bool m_leaving = false;    ///< the worker has given notice that it ends
     std::vector<std::function<void()>> m_noticeAnswers;
--- a/include/hyssoppond/batch/batch_type.h
+++ b/include/hyssoppond/batch/batch_type.h
@@ -215,6 +215,17 @@
         ar(worker, workerStartMs, service, zone, kind, rack, labels, capacity, draining,
            earliestLeaveMs);
     }
+    bool isSameIncarnation(const worker_description &other) const
+    {
+        return worker == other.worker && workerStartMs == other.workerStartMs;
+    }
+};
+
+/// What a worker says about itself.
+struct worker_heartbeat
+{
+    worker_description worker;
+    std::uint64_t number = 0; ///< increases with each heartbeat of one incarnation
 };
 
 } // namespace hyssoppond::batch
--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -68,6 +68,7 @@
     bool grantsFromArrival = false;       ///< a late order's lease counts from its arrival
     absl::Duration startTransit;          ///< time until a start arrives
     bool unreachable = false;             ///< neither acts nor answers
+    bool sendsNoHeartbeats = false;       ///< it works otherwise
     bool notListening = false;            ///< connections are refused; orders have no effect
     bool resets = false;                  ///< connections break at once; orders have no effect
     bool failAll = false;                 ///< every item fails at the end of its run
@@ -89,6 +90,8 @@
     /// Restarts the worker under the name `name`. Its start time is off by `clockStep`.
     void replace(const std::string &name, absl::Duration clockStep);
     const batch::worker_description &description() const { return m_description; }
+    /// The next heartbeat of the worker.
+    batch::worker_heartbeat heartbeat() { return {m_description, ++m_heartbeats}; }
     void setDraining(batch::unix_ms earliestLeaveMs);
 
     item_worker_faults faults;
@@ -127,6 +130,7 @@
     virtual_clock *m_clock;
     item_history *m_history;
     batch::worker_description m_description;
+    std::uint64_t m_heartbeats = 0; ///< of the present incarnation
     std::uint64_t m_workerIncarnation = 0;
     absl::Time m_startedAt;
     absl::Time m_reachableAt = absl::InfinitePast(); ///< end of the latest restart
--- a/src/batch/batch_agent_worker.cpp
+++ b/src/batch/batch_agent_worker.cpp
@@ -30,21 +30,35 @@
         && std::abs(a.earliestLeaveMs - b.earliestLeaveMs) <= LeavingToleranceMs;
 }
 
+/// Whether `heartbeat` tells nothing newer than `known` does. The numbers of different incarnations
+/// do not compare.
+bool isOutdated(const worker_heartbeat &heartbeat, const std::optional<worker_heartbeat> &known)
+{
+    return known && known->worker.isSameIncarnation(heartbeat.worker)
+        && heartbeat.number <= known->number;
+}
+
 } // namespace
 
-void batch_agent::onHeartbeat(const worker_description &worker)
+void batch_agent::onHeartbeat(const worker_heartbeat &heartbeat)
 {
     if (m_superseded)
         return;
-    const bool newIncarnation = !m_description
-        || m_description->workerStartMs != worker.workerStartMs
-        || m_description->worker != worker.worker;
+    const worker_description &worker = heartbeat.worker;
+    if (isOutdated(heartbeat, m_newestHeartbeat) || isOutdated(heartbeat, m_candidate)) {
+        logDecision("heartbeat outdated", worker.worker,
+                    absl::StrCat("number ", heartbeat.number, ", ",
+                                 worker.draining ? "draining" : "ready"));
+        return;
+    }
+    const bool newIncarnation = !m_description || !m_description->isSameIncarnation(worker);
     if (m_description && newIncarnation) {
-        m_candidate = worker;
+        m_candidate = heartbeat;
         m_pollAt = m_hooks.now();
         tick();
         return;
     }
+    m_newestHeartbeat = heartbeat;
     if (!newIncarnation && !m_leaving)
         m_refusedPolls = 0; // it lives, even if it accepts no connection for a moment
     if (!newIncarnation && (m_leaving || sameAnnouncement(*m_description, worker)))
@@ -224,7 +238,7 @@
     m_probedLast = true;
     poll_request request;
     request.fencingToken = currentToken();
-    request.worker = m_candidate->worker;
+    request.worker = m_candidate->worker.worker;
     request.deadline = m_hooks.now() + OrderTimeout;
     request.freshConnection = true;
     m_worker->poll(std::move(request), [this, candidate = *m_candidate](const poll_answer &answer) {
@@ -234,8 +248,9 @@
     });
 }
 
-void batch_agent::onProbe(const worker_description &candidate, const poll_answer &answer)
+void batch_agent::onProbe(const worker_heartbeat &heartbeat, const poll_answer &answer)
 {
+    const worker_description &candidate = heartbeat.worker;
     m_pollAt = m_hooks.now();
     if (!m_candidate || !m_description)
         return;
@@ -256,10 +271,14 @@
         m_candidate.reset();
         return;
     }
-    m_description = candidate;
+    // A later heartbeat may have come while the worker was asked.
+    const bool isNewer = m_candidate->worker.isSameIncarnation(candidate);
+    m_newestHeartbeat = isNewer ? *m_candidate : heartbeat;
+    m_description = m_newestHeartbeat->worker;
     m_description->workerStartMs = startMs;
     m_candidate.reset();
-    logDecision("worker found", candidate.worker, candidate.draining ? "draining" : "ready");
+    logDecision("worker found", m_description->worker,
+                m_description->draining ? "draining" : "ready");
     beginWorkerIncarnation();
 }
 
--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -149,6 +149,7 @@
     m_lastEnd = 0;
     m_lastEndBeforeLapse = 0;
     m_leaseUntilMs = 0;
+    m_heartbeats = 0;
     ++m_workerIncarnation;
     m_startedAt = m_clock->now();
     m_reachableAt = m_startedAt + RestartDuration;
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -110,9 +110,10 @@
 {
     const auto worker = decodeHeartbeat("i-1", Heartbeat, 0, Runner);
     ASSERT_TRUE(worker.has_value());
-    EXPECT_EQ(worker->rack, "r1-3");
-    EXPECT_EQ(worker->capacity.accelerators, 8);
-    EXPECT_EQ(worker->workerStartMs, 1'700'000'000'123);
+    EXPECT_EQ(worker->worker.rack, "r1-3");
+    EXPECT_EQ(worker->worker.capacity.accelerators, 8);
+    EXPECT_EQ(worker->worker.workerStartMs, 1'700'000'000'123);
+    EXPECT_EQ(worker->number, 4U);
     for (const char *body : {"", "7", R"({"service":"s"})",
                              R"({"service":"s","zone":"z","state":"odd","born":1,"capacity":{}})",
                              R"({"service":3,"zone":"z","state":"ready","born":1,"capacity":{}})"})
--- a/tests/batch_large_site_test.cpp
+++ b/tests/batch_large_site_test.cpp
@@ -100,7 +100,7 @@
             break;
         case 2: {
             worker.wallSkew = absl::Seconds(4 * clock.uniform() - 2);
-            const worker_description earlier = worker.description();
+            const worker_heartbeat earlier = worker.heartbeat();
             worker.restart();
             clock.after(absl::Seconds(2 * clock.uniform()), [this, agent, earlier] {
                 if (site.agents.contains(agent)) // a delayed report
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -408,13 +408,14 @@
 
     void heartbeat(const std::string &name, const std::shared_ptr<agent_process> &siteProcess)
     {
-        siteProcess->node->onHeartbeat(workers.at(name)->description());
+        siteProcess->node->onHeartbeat(workers.at(name)->heartbeat());
         clock.every(HeartbeatInterval, [this, name, siteProcess] {
             if (!*siteProcess->alive)
                 return false;
             const bool suspended = clock.now() < siteProcess->suspension->until;
-            if (!workers.at(name)->faults.unreachable && !suspended)
-                siteProcess->node->onHeartbeat(workers.at(name)->description());
+            const item_worker_faults &faults = workers.at(name)->faults;
+            if (!faults.unreachable && !faults.sendsNoHeartbeats && !suspended)
+                siteProcess->node->onHeartbeat(workers.at(name)->heartbeat());
             return true;
         });
     }
--- a/tests/batch_successor_test.cpp
+++ b/tests/batch_successor_test.cpp
@@ -319,14 +319,14 @@
         worker.wallSkew = absl::Seconds(2);
         worker.restart();
         m_site->clock.runFor(absl::Seconds(1));
-        m_earlier = worker.description();
+        m_earlier = worker.heartbeat();
         worker.wallSkew = absl::ZeroDuration();
         worker.restart();
-        ASSERT_LT(worker.description().workerStartMs, m_earlier.workerStartMs);
+        ASSERT_LT(worker.description().workerStartMs, m_earlier.worker.workerStartMs);
         m_site->clock.runFor(absl::Milliseconds(500));
     }
 
-    worker_description m_earlier;
+    worker_heartbeat m_earlier;
 };
 
 // Guards against two runs of one item on a worker that has restarted with an earlier time of day.
@@ -423,7 +423,7 @@
         storeFaults.loseAnswers = 0.3;
         fake_item_worker &worker = *site.workers.at(agent);
         worker.wallSkew = absl::Seconds(4 * clock.uniform() - 2);
-        const worker_description earlier = worker.description();
+        const worker_heartbeat earlier = worker.heartbeat();
         site.datagramLoss
             = clock.uniform() < 0.5 ? 1.0 : 0.001; // otherwise peers relay the appends
         if (clock.uniform() < 0.5)
--- a/tests/batch_worker_report_test.cpp
+++ b/tests/batch_worker_report_test.cpp
@@ -338,10 +338,10 @@
         start(2);
         const std::string agent = startItem(absl::Seconds(20));
         ASSERT_NE(agent, "");
-        worker_description odd = workerOf(agent).description();
+        worker_heartbeat odd = workerOf(agent).heartbeat();
         if (!sameName)
-            odd.worker = "x";
-        odd.workerStartMs += 4'000'000;
+            odd.worker.worker = "x";
+        odd.worker.workerStartMs += 4'000'000;
         agentOf(agent).onHeartbeat(odd);
         m_site->clock.runFor(absl::Seconds(40));
         EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
@@ -358,9 +358,9 @@
     m_site->kill("agent-0");
     workerOf("agent-0").faults.unreachable = true;
     m_site->startAgent("agent-0");
-    worker_description odd = workerOf("agent-0").description();
-    odd.worker = "x";
-    odd.workerStartMs += 4'000'000;
+    worker_heartbeat odd = workerOf("agent-0").heartbeat();
+    odd.worker.worker = "x";
+    odd.worker.workerStartMs += 4'000'000;
     agentOf("agent-0").onHeartbeat(odd);
     workerOf("agent-0").faults.unreachable = false;
     m_site->clock.runFor(absl::Seconds(5));
@@ -404,6 +404,81 @@
     EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
 }
 
+// Guards against work that is started on a draining worker because an earlier heartbeat of it,
+// which was sent before it drained, arrives late.
+TEST_F(batch_worker_report_test, lateHeartbeatDoesNotEndTheDraining)
+{
+    start(1);
+    const worker_heartbeat late = workerOf("agent-0").heartbeat();
+    workerOf("agent-0").setDraining(0);
+    m_site->clock.runFor(absl::Seconds(2));
+    workerOf("agent-0").faults.sendsNoHeartbeats = true;
+    agentOf("agent-0").onHeartbeat(late);
+    EXPECT_EQ(startItem(absl::Seconds(20)), "") << decisions();
+    EXPECT_EQ(m_site->history.starts, 0U) << decisions();
+}
+
+// Guards against work that is started on a worker that has left, because its last heartbeat arrives
+// twice.
+TEST_F(batch_worker_report_test, repeatedHeartbeatDoesNotBringBackAWorkerThatLeft)
+{
+    start(1);
+    workerOf("agent-0").faults.sendsNoHeartbeats = true;
+    const worker_heartbeat last = workerOf("agent-0").heartbeat();
+    agentOf("agent-0").onHeartbeat(last);
+    agentOf("agent-0").onWorkerLeft(workerOf("agent-0").description().worker);
+    m_site->clock.runFor(absl::Seconds(1));
+    agentOf("agent-0").onHeartbeat(last);
+    EXPECT_EQ(startItem(absl::Seconds(20)), "") << decisions();
+    EXPECT_EQ(m_site->history.starts, 0U) << decisions();
+}
+
+// Guards against work that is started on a new worker that drains already, because an earlier
+// heartbeat of it arrives late while the agent has not reached it yet.
+TEST_F(batch_worker_report_test, lateHeartbeatOfANewWorkerDoesNotEndItsDraining)
+{
+    start(1);
+    workerOf("agent-0").faults.sendsNoHeartbeats = true;
+    workerOf("agent-0").replace("worker-new", absl::ZeroDuration());
+    const worker_heartbeat late = workerOf("agent-0").heartbeat();
+    workerOf("agent-0").setDraining(0);
+    agentOf("agent-0").onHeartbeat(workerOf("agent-0").heartbeat());
+    agentOf("agent-0").onHeartbeat(late);
+    m_site->clock.runFor(absl::Seconds(3));
+    EXPECT_EQ(startItem(absl::Seconds(20)), "") << decisions();
+    EXPECT_EQ(m_site->history.starts, 0U) << decisions();
+}
+
+// Guards against work that is started on a new worker that drains already: its heartbeat says so
+// while the agent waits for the answer to a question that an earlier heartbeat caused.
+TEST_F(batch_worker_report_test, newWorkerThatDrainsWhileItIsAskedGetsNoWork)
+{
+    start(1);
+    workerOf("agent-0").faults.sendsNoHeartbeats = true;
+    workerOf("agent-0").replace("worker-new", absl::ZeroDuration());
+    m_site->clock.runFor(absl::Seconds(1));
+    agentOf("agent-0").onHeartbeat(workerOf("agent-0").heartbeat());
+    workerOf("agent-0").setDraining(0);
+    agentOf("agent-0").onHeartbeat(workerOf("agent-0").heartbeat());
+    m_site->clock.runFor(absl::Seconds(1));
+    EXPECT_EQ(startItem(absl::Seconds(20)), "") << decisions();
+    EXPECT_EQ(m_site->history.starts, 0U) << decisions();
+}
+
+// Guards against a worker that is ignored after its restart because its heartbeats are numbered
+// anew.
+TEST_F(batch_worker_report_test, heartbeatsOfARestartedWorkerCountFromItsFirst)
+{
+    start(1);
+    for (int i = 0; i < 50; ++i)
+        agentOf("agent-0").onHeartbeat(workerOf("agent-0").heartbeat());
+    workerOf("agent-0").setDraining(0);
+    m_site->clock.runFor(absl::Seconds(2));
+    workerOf("agent-0").restart();
+    m_site->clock.runFor(absl::Seconds(4));
+    EXPECT_EQ(startItem(absl::Seconds(20)), "agent-0") << decisions();
+}
+
 // Guards against two runs of one item, and against items that are never run, when workers leave,
 // are replaced or are named by odd and delayed reports while agents and connections fail.
 class batch_worker_report_schedule_test : public testing::TestWithParam<std::uint64_t>
@@ -419,7 +494,7 @@
     }
     clock.runFor(StartTime);
     std::vector<std::string> ids;
-    std::vector<worker_description> earlier;
+    std::vector<worker_heartbeat> earlier;
     constexpr int FaultSteps = 40;
     for (int i = 0; i < FaultSteps; ++i) {
         ids.push_back(batch_site::idOf(1'000 + static_cast<std::uint64_t>(i)));
@@ -429,7 +504,7 @@
         fake_item_worker &worker = *site.workers.at(name);
         const auto agent = site.agents.find(name);
         batch_agent *node = agent == site.agents.end() ? nullptr : agent->second->node.get();
-        earlier.push_back(worker.description());
+        earlier.push_back(worker.heartbeat());
         switch (clock.random() % 8) {
         case 0: // leaves, and another one comes; its answer may be lost
             if (node != nullptr)
@@ -446,8 +521,8 @@
             break;
         case 2: // delayed or odd report
             if (node != nullptr) {
-                worker_description odd = earlier[clock.random() % earlier.size()];
-                odd.workerStartMs += clock.uniform() < 0.5 ? 0 : 1'000'000;
+                worker_heartbeat odd = earlier[clock.random() % earlier.size()];
+                odd.worker.workerStartMs += clock.uniform() < 0.5 ? 0 : 1'000'000;
                 node->onHeartbeat(odd);
             }
             break;
--- a/tests/odd_report_test.cpp
+++ b/tests/odd_report_test.cpp
@@ -35,6 +35,7 @@
         {"zone", R"("z")"},
         {"state", R"("ready")"},
         {"born", "1700000000123"},
+        {"seq", "4"},
         {"capacity", R"({"cpu":16000,"memMb":32768,"gpu":8})"},
         {"labels", R"(["a","r1-3"])"},
         {"remainingMs", "0"},
@@ -95,7 +96,7 @@
 {
     EXPECT_TRUE(isAccepted(reportWith("", "")));
     for (const char *field :
-         {"service", "address", "zone", "state", "born", "capacity", "labels"}) {
+         {"service", "address", "zone", "state", "born", "seq", "capacity", "labels"}) {
         EXPECT_FALSE(isAccepted(reportWith(field, ""))) << field;
         for (const char *value : {"7.5", "null", "{}", "[[]]", "\"odd\xff\"", "\"\"", "true"})
             EXPECT_FALSE(isAccepted(reportWith(field, value))) << field << " " << value;
@@ -129,6 +130,7 @@
 {
     for (const std::string &number : OddNumbers) {
         EXPECT_FALSE(isAccepted(reportWith("born", number))) << number;
+        EXPECT_FALSE(isAccepted(reportWith("seq", number))) << number;
         for (const char *amount : {"cpu", "memMb", "gpu"}) {
             std::string capacity = R"({"cpu":1,"memMb":1,"gpu":1})";
             const std::string usual = absl::StrCat("\"", amount, "\":1");
--- a/tests/platform_odd_entry_test.sh
+++ b/tests/platform_odd_entry_test.sh
@@ -78,6 +78,7 @@
   report "300,000 bytes" "$odd/body"
   for number in 1e400 18446744073709551616 -1 1e15 0.5 '"7"' null '[]' '{}' true; do
     report_with '"born":[0-9]*' "\"born\":$number"
+    report_with '"seq":[0-9]*' "\"seq\":$number"
     report_with '"cpu":[0-9]*' "\"cpu\":$number"
     report_with '"gpu":[0-9]*' "\"gpu\":$number"
     report_with '"capacity":{[^}]*}' "\"capacity\":$number"
