Lists of a worker that do not name its incarnation prove nothing

Not seen by callers; found by reading. An answer to a poll without the worker's start, or with one that cannot be read, was taken for one of the incarnation that the agent knew: its clock counted, the ends in it were handled by the numbers of that incarnation, and the next poll acknowledged them. After a restart under the same name, which numbers ends anew, an end was acknowledged unread, the run counted as vanished and its item ran again after it was done.

Such an answer now counts as none (`lists ignored` in the log): polls and questions to the worker go through one function that says so. The order that it answers counts as one that may be late, as nobody knows which incarnation carried it out.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -153,6 +153,8 @@
     /// Whether the lease has to be extended or the lists of runs have to be read.
     bool wantsPoll() const;
     void poll();
+    /// Sends a poll. An answer that does not name its worker incarnation counts as none.
+    void sendPoll(poll_request request, std::function<void(const poll_answer &)> done);
     /// Asks the worker whether it is the incarnation of m_candidate.
     void probe();
     void onProbe(const worker_heartbeat &heartbeat, const poll_answer &answer);
--- a/include/hyssoppond/batch/item_worker_port.h
+++ b/include/hyssoppond/batch/item_worker_port.h
@@ -91,7 +91,7 @@
 {
     order_outcome outcome = order_outcome::NoAnswer;
     std::optional<std::int64_t> workerClockMs;
-    std::optional<unix_ms> workerStartMs; ///< of the worker incarnation that answered
+    std::optional<unix_ms> workerStartMs; ///< of the worker incarnation that answered, if known
     std::vector<running_item> running;
     std::vector<ended_item> ended;
     bool complete = true;  ///< false: an entry of the lists could not be read and is left out
--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -72,6 +72,7 @@
     bool notListening = false;            ///< connections are refused; orders have no effect
     bool resets = false;                  ///< connections break at once; orders have no effect
     bool failAll = false;                 ///< every item fails at the end of its run
+    bool hidesIncarnation = false;        ///< its lists do not name its incarnation
     bool oddEntries = false;              ///< one entry of each list of runs cannot be read
 };
 
--- a/src/batch/batch_agent_poll.cpp
+++ b/src/batch/batch_agent_poll.cpp
@@ -46,7 +46,6 @@
         m_pollAt = m_lastPollAt + LeaseRenewalInterval;
         return;
     }
-    m_polling = true;
     m_lastPollAt = now;
     m_silentAt = std::min(m_silentAt, now + absl::Milliseconds(m_options.longestLeaseMs));
     const bool uncertain = std::any_of(m_runs.begin(), m_runs.end(),
@@ -77,11 +76,10 @@
     request.deadline = now + request.wait + OrderTimeout;
     request.freshConnection = m_pollOnFreshConnection;
     const std::uint64_t lastSeen = request.acknowledgedEnd;
-    m_worker->poll(
+    sendPoll(
         std::move(request),
         [this, sentToken = currentToken(), workerIncarnation = m_workerIncarnation, now, lastSeen,
          grant, isRenewal, startsSent = m_startsSent](const poll_answer &answer) {
-            m_polling = false;
             if (grant && answer.outcome != order_outcome::NoAnswer)
                 m_grants.noteAnswered(*grant);
             if (answer.outcome == order_outcome::Done && workerIncarnation == m_workerIncarnation) {
@@ -95,10 +93,23 @@
             if (answer.outcome == order_outcome::Done && workerIncarnation == m_workerIncarnation)
                 m_acknowledgedEnd = std::max(m_acknowledgedEnd, lastSeen);
             onPoll(answer, sentToken, workerIncarnation, now);
-            tick();
         });
 }
 
+void batch_agent::sendPoll(poll_request request, std::function<void(const poll_answer &)> done)
+{
+    m_polling = true;
+    m_worker->poll(std::move(request), [this, done = std::move(done)](const poll_answer &answer) {
+        m_polling = false;
+        // It may come from an earlier incarnation or from one that is not known yet.
+        const bool isUnidentified = answer.outcome == order_outcome::Done && !answer.workerStartMs;
+        if (isUnidentified)
+            logDecision("lists ignored", "", "they do not name the worker incarnation");
+        done(isUnidentified ? poll_answer {} : answer);
+        tick();
+    });
+}
+
 item_run batch_agent::resolveListedRun(const item_run &listed) const
 {
     if (m_runs.contains(listed))
--- a/src/batch/batch_agent_worker.cpp
+++ b/src/batch/batch_agent_worker.cpp
@@ -234,17 +234,14 @@
 
 void batch_agent::probe()
 {
-    m_polling = true;
     m_probedLast = true;
     poll_request request;
     request.fencingToken = currentToken();
     request.worker = m_candidate->worker.worker;
     request.deadline = m_hooks.now() + OrderTimeout;
     request.freshConnection = true;
-    m_worker->poll(std::move(request), [this, candidate = *m_candidate](const poll_answer &answer) {
-        m_polling = false;
+    sendPoll(std::move(request), [this, candidate = *m_candidate](const poll_answer &answer) {
         onProbe(candidate, answer);
-        tick();
     });
 }
 
--- a/src/fakes/fake_item_worker.cpp
+++ b/src/fakes/fake_item_worker.cpp
@@ -269,7 +269,8 @@
 {
     batch::poll_answer answer;
     answer.workerClockMs = clockMs();
-    answer.workerStartMs = m_description.workerStartMs;
+    if (!faults.hidesIncarnation)
+        answer.workerStartMs = m_description.workerStartMs;
     if (request.worker != m_description.worker) {
         answer.outcome = order_outcome::WorkerRestarted;
         return answer;
--- a/tests/batch_worker_report_test.cpp
+++ b/tests/batch_worker_report_test.cpp
@@ -479,6 +479,31 @@
     EXPECT_EQ(startItem(absl::Seconds(20)), "agent-0") << decisions();
 }
 
+// Guards against an item that runs again after it was done: the worker has restarted, its lists do
+// not say so, and the end of the run is acknowledged unread by the numbers of the worker before it.
+TEST_F(batch_worker_report_test, listsThatNameNoIncarnationProveNothing)
+{
+    start(1);
+    ASSERT_EQ(startItem(absl::Milliseconds(2'500)), "agent-0");
+    m_site->clock.runFor(absl::Seconds(2));
+    ASSERT_EQ(status(), job_status::Completed) << decisions();
+    m_id = batch_site::idOf(2);
+    ASSERT_EQ(startItem(absl::Seconds(20)), "agent-0") << decisions();
+    fake_item_worker &worker = workerOf("agent-0");
+    worker.faults.sendsNoHeartbeats = true;
+    worker.faults.hidesIncarnation = true;
+    worker.itemTime = absl::Seconds(1);
+    worker.restart();
+    m_site->clock.runFor(absl::Seconds(8));
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
+    worker.faults.sendsNoHeartbeats = false;
+    worker.faults.hidesIncarnation = false;
+    m_site->clock.runFor(absl::Seconds(6));
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
+    EXPECT_EQ(m_site->history.starts, 3U) << decisions();
+    EXPECT_EQ(status(), job_status::Completed) << decisions();
+}
+
 // Guards against two runs of one item, and against items that are never run, when workers leave,
 // are replaced or are named by odd and delayed reports while agents and connections fail.
 class batch_worker_report_schedule_test : public testing::TestWithParam<std::uint64_t>
