A restarted worker is announced when it has described itself

Not seen by callers; found by reading. An agent that learned from a poll that its worker had restarted announced the new incarnation with the description of the earlier one: its kind, labels, capacity and whether it drains. A new incarnation may be of another kind, even at the same address, so until its next heartbeat, up to 1.5 s later, items were started on a worker without the label that they require. The class is that of the late heartbeat: what was said by an earlier incarnation stood for the present one.

The agent now announces a worker only if the newest heartbeat that it used is of that incarnation. Until then it announces that there is none, which ends the runs of the earlier incarnation as before.

Test that failed before: restartedWorkerIsNotTakenForTheKindThatItWas, starts 2 instead of 1.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -120,6 +120,9 @@
     void retrySession(const char *why);
     /// Looks for the record of this session, and of a later one, in what was read of the journal.
     void checkSession();
+    /// Whether the present incarnation of the worker has described itself. Until then the agent
+    /// announces none, as the new one may be of another kind.
+    bool isDescribed() const;
     /// Gives up all activity in favour of a later process of this agent.
     void retire(const char *why);
     void announce();
--- a/include/hyssoppond/fakes/fake_item_worker_base.h
+++ b/include/hyssoppond/fakes/fake_item_worker_base.h
@@ -94,6 +94,7 @@
     /// The next heartbeat of the worker.
     batch::worker_heartbeat heartbeat() { return {m_description, ++m_heartbeats}; }
     void setDraining(batch::unix_ms earliestLeaveMs);
+    void setLabels(std::vector<std::string> labels) { m_description.labels = std::move(labels); }
 
     item_worker_faults faults;
     double clockRate = 1.0; ///< of the worker's steady clock against the virtual clock
--- a/src/batch/batch_agent_worker.cpp
+++ b/src/batch/batch_agent_worker.cpp
@@ -58,10 +58,12 @@
         tick();
         return;
     }
+    const bool wasDescribed = isDescribed();
     m_newestHeartbeat = heartbeat;
     if (!newIncarnation && !m_leaving)
         m_refusedPolls = 0; // it lives, even if it accepts no connection for a moment
-    if (!newIncarnation && (m_leaving || sameAnnouncement(*m_description, worker)))
+    if (!newIncarnation
+        && (m_leaving || (wasDescribed && sameAnnouncement(*m_description, worker))))
         return;
     m_description = worker;
     logDecision(newIncarnation ? "worker found" : "worker changed", worker.worker,
@@ -197,14 +199,20 @@
     return m_description && run.workerStartMs == m_description->workerStartMs;
 }
 
+bool batch_agent::isDescribed() const
+{
+    return m_description && m_newestHeartbeat
+        && m_newestHeartbeat->worker.isSameIncarnation(*m_description);
+}
+
 void batch_agent::announce()
 {
     m_announceDue = false;
     m_announcing = true;
     agent_announced record;
     record.agent = m_options.agent;
-    record.hasWorker = m_description.has_value();
-    if (m_description)
+    record.hasWorker = isDescribed();
+    if (record.hasWorker)
         record.worker = *m_description;
     // Announcements begin after all those of earlier processes were read, so the newest one is
     // known.
@@ -224,8 +232,8 @@
                        logDecision("announced", m_options.agent.str(),
                                    absl::StrCat("offset ", offset, ", worker incarnation ",
                                                 record.worker.workerStartMs));
-                       if (workerIncarnation == m_workerIncarnation && m_description
-                           && !m_announced) {
+                       if (workerIncarnation == m_workerIncarnation && record.hasWorker
+                           && m_description && !m_announced) {
                            m_announced = true;
                            m_announcedOffset = offset;
                        }
--- a/tests/batch_worker_report_test.cpp
+++ b/tests/batch_worker_report_test.cpp
@@ -504,6 +504,31 @@
     EXPECT_EQ(status(), job_status::Completed) << decisions();
 }
 
+// Guards against work on a worker without the label that it requires: the worker has restarted as
+// another kind, and is announced as what it was before.
+TEST_F(batch_worker_report_test, restartedWorkerIsNotTakenForTheKindThatItWas)
+{
+    start(1);
+    fake_item_worker &worker = workerOf("agent-0");
+    worker.itemTime = absl::Seconds(20);
+    batch_step step = batch_site::stepOf(1, 1, false);
+    step.requiredLabel = "a";
+    m_site->submit("entry-0", m_id, "normal", step);
+    m_site->clock.runFor(absl::Seconds(1));
+    ASSERT_EQ(worker.running(), 1U) << decisions();
+    worker.faults.sendsNoHeartbeats = true;
+    worker.restart();
+    worker.setLabels({"b", "rack-0"});
+    m_site->clock.runFor(absl::Seconds(3));
+    EXPECT_EQ(m_site->history.starts, 1U) << decisions();
+    worker.faults.sendsNoHeartbeats = false;
+    m_site->clock.runFor(absl::Seconds(3));
+    EXPECT_EQ(m_site->history.starts, 1U) << decisions();
+    worker.setLabels({"a", "rack-0"});
+    m_site->clock.runFor(absl::Seconds(4));
+    EXPECT_EQ(m_site->history.starts, 2U) << decisions();
+}
+
 // Guards against two runs of one item, and against items that are never run, when workers leave,
 // are replaced or are named by odd and delayed reports while agents and connections fail.
 class batch_worker_report_schedule_test : public testing::TestWithParam<std::uint64_t>
