An agent that ends says so, and records the ends that its worker lists

What callers saw: a run that was ordered from an agent that was being restarted or taken out waited until its next process had started, or until the agent counted as silent. A job whose last item had ended stayed running until then.

Cause: a process of an agent recorded nothing when it was told to stop. It ended 50 ms later, whatever was still to be written.

Why it works: the process records that it ends, over the same writer as its ends, so through a peer as well. Until a later process of the agent has started, the agent gets no work and is not reinstated. Its runs go on under their leases. The process waits for that record, for the answer to its last poll and for the ends that this lists, at most 1 s. The record counts only for the newest process, by its incarnation; a late one of an earlier process is refused by the store, as the start of the later one has a higher epoch. A process whose own start is not recorded says nothing, and one that ends records no start any more.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -47,8 +47,12 @@
     /// When tick has to be called next.
     absl::Time nextDeadline() const;
 
-    /// Extends the lease as far as allowed before the process ends.
+    /// Records that the process ends, extends the lease as far as allowed and reads the ends that
+    /// the worker lists.
     void prepareStop();
+    /// True once the process may end after prepareStop(): the records that it has to leave are
+    /// stored, or they take too long.
+    bool isReadyToStop() const;
 
     /// Called once per decision, for the log. `item` names the run, worker, agent or record that it
     /// concerns, if any. The text `decision` is also the name of a metric and therefore stays.
@@ -195,6 +199,9 @@
     item_worker_port *m_worker;
     loop_hooks m_hooks;
     absl::Time m_startedAt;
+    absl::Time m_stopBy = absl::InfiniteFuture(); ///< latest end of a process that is to end
+    bool m_endingRecorded = false;
+    std::optional<absl::Time> m_lastPollSentAt; ///< poll whose answer is awaited before the end
     log_follower m_follower;
     log_writer m_writer;
 
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -206,9 +206,22 @@
     }
 };
 
-using batch_record
-    = std::variant<job_submitted, job_cancelled, job_failed, run_ordered, run_stopping, run_ended,
-                   process_started, agent_announced, agent_evicted, decider_granted>;
+/// A process of an agent ends in an orderly way. Its runs go on under their leases, and the next
+/// process of the agent adopts them.
+struct process_ending
+{
+    process_id process;
+    incarnation_number incarnation = 0; ///< as in its process_started
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(process, incarnation);
+    }
+};
+
+using batch_record = std::variant<job_submitted, job_cancelled, job_failed, run_ordered,
+                                  run_stopping, run_ended, process_started, agent_announced,
+                                  agent_evicted, decider_granted, process_ending>;
 
 /// Key under which the store keeps `record`, at most 255 bytes.
 std::string keyOf(const batch_record &record);
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -42,6 +42,10 @@
 /// Time limit for one answer of the store.
 constexpr absl::Duration StoreTimeout = absl::Milliseconds(1000);
 
+/// Longest time that a process that is to end waits for its records. Covers an append through a
+/// peer; the next process is started only when this one has ended.
+constexpr absl::Duration StopTimeout = absl::Milliseconds(1000);
+
 } // namespace
 
 batch_agent::batch_agent(batch_agent_options options, store_port *store, item_worker_port *worker,
@@ -87,7 +91,8 @@
 
 void batch_agent::recordSession()
 {
-    if (m_recordingSession)
+    // A later start of this process would take back that it ends.
+    if (m_recordingSession || m_stopBy != absl::InfiniteFuture())
         return;
     m_recordingSession = true;
     const batch_record record
@@ -261,10 +266,33 @@
 
 void batch_agent::prepareStop()
 {
+    if (m_superseded || m_stopBy != absl::InfiniteFuture())
+        return;
+    const absl::Time now = m_hooks.now();
+    m_stopBy = now + StopTimeout;
+    m_endingRecorded = !m_sessionOffset; // nobody knows this process yet
+    if (m_sessionOffset) {
+        const batch_record record = process_ending {m_options.agent, m_options.incarnation};
+        m_writer.write({{keyOf(record), encodeRecord(record), 0}}, absl::InfiniteFuture(),
+                       [this](write_result writeResult, std::uint64_t offset) {
+                           m_endingRecorded = true;
+                           logDecision(writeResult == write_result::Written ? "ending recorded"
+                                                                            : "ending refused",
+                                       m_options.agent.str(), absl::StrCat("offset ", offset));
+                       });
+    }
     if (m_synced && !m_runs.empty()) {
         m_renewalDue = true;
         poll();
+        if (m_polling && m_lastPollAt >= now)
+            m_lastPollSentAt = m_lastPollAt;
     }
 }
 
+bool batch_agent::isReadyToStop() const
+{
+    const bool isDone = m_endingRecorded && !m_lastPollSentAt && m_reportsInFlight == 0;
+    return m_superseded || isDone || m_hooks.now() >= m_stopBy;
+}
+
 } // namespace hyssoppond::batch
--- a/src/batch/batch_agent_poll.cpp
+++ b/src/batch/batch_agent_poll.cpp
@@ -125,6 +125,8 @@
                          std::uint64_t workerIncarnation, absl::Time sentAt)
 {
     const absl::Time now = m_hooks.now();
+    if (m_lastPollSentAt && sentAt >= *m_lastPollSentAt)
+        m_lastPollSentAt.reset();
     updateWorkerClock(answer.workerClockMs, answer.outcome, workerIncarnation);
     if (m_superseded)
         return;
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -423,7 +423,7 @@
             logRecord(record, absl::StrCat("no heartbeat for ", absl::FormatDuration(silent)));
             recordEviction(agent, record);
         } else if (evicted && !isSilent(watch) && watch.livedAt > evictionReadAt
-                   && !watch.evictionQueued) {
+                   && !m_state->isEnding(agent) && !watch.evictionQueued) {
             const batch_record reinstatement = agent_evicted {agent, false, m_heartbeatPosition};
             logRecord(reinstatement, "heartbeats received again");
             recordEviction(agent, reinstatement);
@@ -487,6 +487,10 @@
         if (isSilent(watch))
             input.silent.insert(agent);
     }
+    for (const auto &[agent, announced] : m_state->agents()) {
+        if (m_state->isEnding(agent))
+            input.silent.insert(agent);
+    }
     return input;
 }
 
--- a/src/batch/batch_record.cpp
+++ b/src/batch/batch_record.cpp
@@ -36,6 +36,7 @@
         return absl::StrCat(r.byDecider ? "l:" : "e:", toString(r.unit), ":", r.run, ":", r.member);
     }
     std::string operator()(const process_started &r) const { return "a:" + r.process.str(); }
+    std::string operator()(const process_ending &r) const { return "q:" + r.process.str(); }
     std::string operator()(const agent_announced &r) const { return "n:" + r.agent.str(); }
     std::string operator()(const agent_evicted &r) const { return "v:" + r.agent.str(); }
     std::string operator()(const decider_granted & /*r*/) const { return "decider"; }
--- a/src/batch/batch_state.cpp
+++ b/src/batch/batch_state.cpp
@@ -26,6 +26,7 @@
     m_jobs.clear();
     m_agents.clear();
     m_evicted.clear();
+    m_ending.clear();
     m_runsOn.clear();
     m_grant = {};
     m_processes.clear();
@@ -186,6 +187,14 @@
 void batch_state::applyRecord(const process_started &record)
 {
     m_processes[record.process] = record;
+    m_ending.erase(record.process);
+}
+
+void batch_state::applyRecord(const process_ending &record)
+{
+    const auto newest = m_processes.find(record.process);
+    if (newest != m_processes.end() && newest->second.incarnation == record.incarnation)
+        m_ending.insert(record.process);
 }
 
 void batch_state::applyRecord(const agent_announced &record)
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -125,6 +125,18 @@
         }
     }
 
+    /// Ends the process of an agent in an orderly way, as the daemon does when it is told to stop.
+    void stopAgent(const std::string &name)
+    {
+        const std::shared_ptr<agent_process> siteProcess = agents.at(name);
+        siteProcess->node->prepareStop();
+        clock.every(StopPollInterval, [this, name, siteProcess] {
+            if (*siteProcess->alive && siteProcess->node->isReadyToStop())
+                kill(name);
+            return *siteProcess->alive;
+        });
+    }
+
     /// Suspends the machine of the process `name`. The process does nothing for `duration`, and
     /// what arrives for it waits in its sockets. The worker of an agent goes on.
     void suspend(const std::string &name, absl::Duration duration, suspended_clock processClock)
@@ -343,6 +355,9 @@
 
     static constexpr absl::Duration RestartDelay = absl::Seconds(1);
 
+    /// Interval at which a process that is told to stop checks whether it may end.
+    static constexpr absl::Duration StopPollInterval = absl::Milliseconds(50);
+
     /// Tells the workers which items work only together. The id of the job is the end of `path`.
     void registerGangs(const std::string &path, const batch_job &job)
     {
--- a/tests/batch_state_load_test.cpp
+++ b/tests/batch_state_load_test.cpp
@@ -48,7 +48,8 @@
     for (const auto &[agent, announced] : state.agents()) {
         absl::StrAppend(&text, agent.str(), announced.hasWorker ? " worker " : " no worker ",
                         announced.worker.workerStartMs, announced.worker.draining ? " drains" : "",
-                        state.isEvicted(agent) ? " evicted" : "", ":");
+                        state.isEvicted(agent) ? " evicted" : "",
+                        state.isEnding(agent) ? " ending" : "", ":");
         for (const unit_id &unit : state.runsOn(agent))
             absl::StrAppend(&text, " ", toString(unit));
         absl::StrAppend(&text, "\n");
@@ -282,7 +283,9 @@
             break;
         }
         if (m_clock->uniform() < 0.5)
-            write(process_started {agent, ++m_epoch, false, ""});
+            write(process_started {agent, m_incarnations[agent] = ++m_epoch, false, ""});
+        if (m_clock->uniform() < 0.3)
+            write(process_ending {agent, m_incarnations[agent]});
     }
 
     void changeEviction()
@@ -316,6 +319,7 @@
     std::map<process_id, unix_ms> m_startMs; ///< of the announced worker; 0: none
     std::map<process_id, unix_ms> m_previousStartMs;
     std::map<process_id, std::uint64_t> m_presentSince; ///< of the announced worker
+    std::map<process_id, incarnation_number> m_incarnations;
     std::vector<open_member> m_ended;
     unix_ms m_lastStartMs = 1'000;
     epoch_number m_epoch = 0;
--- a/tests/platform_process_test.sh
+++ b/tests/platform_process_test.sh
@@ -41,3 +41,8 @@
 wait "${pid_of[entry-1]}" || fail "an entry did not stop cleanly"
 grep -q '"message":"stopped"' "$work/entry-1.log" || fail "an entry did not log its stop"
 echo "passed: an entry stops on SIGTERM"
+
+kill -TERM "${pid_of[agent-1]}"
+wait "${pid_of[agent-1]}" || fail "an agent did not stop cleanly"
+grep -q '"message":"ending recorded"' "$work/agent-1.log" || fail "an agent did not say that it ends"
+echo "passed: an agent says on SIGTERM that it ends"
