Gangs: a step of the time of day of a running process changes no lease

Callers could see two runs of a gang: the processes of the product's own path measured leases by the time of day (absl::Now()). A step of 2 s of one machine is beyond the 250 ms of skew that the waits allow. It is of the class "a bound measured with another clock than the one that relies on it".

A process now measures everything by its process_clock: the time of day at its start plus the elapsed CLOCK_BOOTTIME, which goes on during a suspension. It approaches the time of day by at most 0.5 ms a second, so a step moves a lease of 15 s by at most 7.5 ms, and times of machines whose clocks are right stay together. Deadlines stay absolute. Timers wait on CLOCK_BOOTTIME too; the condition variable before waited for an absolute time of day, so a step back made it late. The log keeps the time of day. The worker stand-in measures by the same clock.

The sites of the tests give each process such a clock over hooks for both clocks of its machine.

Outside the bound stay a process that starts while the time of day of its machine is off by more than the skew, a time of day that stays off for over 500 s, and a worker of the platform that measures leases by a clock that is stepped (docs/design.md 7.2, worker_port.h).

--- a/bench/capacity/gang_slopes.cpp
+++ b/bench/capacity/gang_slopes.cpp
@@ -153,9 +153,9 @@
         site.network.send(self, to, transmitted);
     };
     constexpr accelerator_mask All = (1U << GangsOnOneWorker) - 1;
-    node.process
-        = std::make_unique<gang_member_agent>(node.agent, ++node.incarnation, All, node.port.get(),
-                                              site.options, site.clock.hooks(node.skew), hooks);
+    node.process = std::make_unique<gang_member_agent>(
+        node.agent, ++node.incarnation, All, node.port.get(), site.options,
+        site.clock.hooks(node.timeOfDayAhead), hooks);
     site.clock.runFor(absl::Seconds(1)); // the agent reads the worker's task list
 }
 
--- a/faults/gang_site.cpp
+++ b/faults/gang_site.cpp
@@ -74,7 +74,7 @@
         node->agent = process_id("agent-" + std::to_string(i));
         node->worker = worker_id("worker-" + std::to_string(i));
         // Clocks differ from each other by at most the assumed skew.
-        node->skew = options.maxClockSkew * (clock.uniform() - 0.5);
+        node->timeOfDayAhead = options.maxClockSkew * (clock.uniform() - 0.5);
         node->workers.push_back(std::make_unique<fake_worker>(&clock, 8));
         node->port = std::make_unique<gated_worker_port>(node->workers.back().get(), &node->gate);
         nodes.push_back(std::move(node));
@@ -91,7 +91,7 @@
 {
     for (const auto &node : nodes) {
         if (node->process && !node->gate.paused
-            && node->process->nextDeadline() <= clock.now() + node->skew)
+            && node->process->nextDeadline() <= node->processClock->now())
             node->process->tick();
     }
     for (const auto &entry : entries) {
@@ -100,6 +100,19 @@
     }
 }
 
+std::shared_ptr<process_clock> gang_site::startClock(const absl::Duration *ahead)
+{
+    return std::make_shared<process_clock>(
+        machine_clocks {[this, ahead] { return clock.now() + *ahead; },
+                        [this] { return clock.now() - absl::UnixEpoch(); }});
+}
+
+environment gang_site::environmentOf(std::shared_ptr<process_clock> processClock)
+{
+    return {[processClock = std::move(processClock)] { return processClock->now(); },
+            [this] { return clock.random(); }};
+}
+
 void gang_site::send(const process_id &from, const process_id &to, const gang_message &message)
 {
     if (countBytes)
@@ -113,13 +126,14 @@
 {
     ++node.incarnation;
     node.gate = {};
+    node.processClock = startClock(&node.timeOfDayAhead);
     gang_agent_hooks hooks;
     hooks.send = [this, self = node.agent](const process_id &to, const gang_message &message) {
         send(self, to, message);
     };
     node.process = std::make_unique<gang_member_agent>(
         node.agent, node.incarnation, accelerator_mask {0xff}, node.port.get(), options,
-        clock.hooks(node.skew), std::move(hooks));
+        environmentOf(node.processClock), std::move(hooks));
     network.attach(node.agent, [&node](const process_id &from, const gang_message &message) {
         node.gate.pass([&node, from, message] {
             if (node.process)
@@ -172,8 +186,8 @@
               if (onEnded)
                   onEnded(ends.back());
           };
-    entry->process
-        = std::make_unique<gang_coordinator>(added.id, options, clock.hooks(), std::move(hooks));
+    entry->process = std::make_unique<gang_coordinator>(
+        added.id, options, environmentOf(startClock(&added.timeOfDayAhead)), std::move(hooks));
     network.attach(added.id, [&added](const process_id &from, const gang_message &message) {
         added.gate.pass([&added, from, message] {
             if (added.process)
--- a/faults/gang_site_base.h
+++ b/faults/gang_site_base.h
@@ -1,6 +1,7 @@
 /// @file A site of workers, member agents and coordinators in virtual time, and its checker.
 #pragma once
 
+#include "hyssoppond/base/process_clock_base.h"
 #include "hyssoppond/fakes/fake_network_base.h"
 #include "hyssoppond/fakes/fake_worker_base.h"
 #include "hyssoppond/gang/gang_coordinator_base.h"
@@ -51,12 +52,14 @@
     pause_gate *m_gate;
 };
 
-/// A worker, its agent and the earlier workers that it replaced.
+/// A worker, its agent and the earlier workers that it replaced. The worker measures by the clock
+/// of the site.
 struct site_node
 {
     process_id agent;
     worker_id worker;
-    absl::Duration skew;
+    absl::Duration timeOfDayAhead;               ///< of the agent's machine
+    std::shared_ptr<process_clock> processClock; ///< of the agent
     incarnation_number incarnation = 1;
     std::vector<std::unique_ptr<fake_worker>> workers; ///< the last one is in use
     pause_gate gate;
@@ -70,6 +73,7 @@
 struct site_entry
 {
     process_id id;
+    absl::Duration timeOfDayAhead; ///< of its machine
     pause_gate gate;
     std::unique_ptr<gang_coordinator> process; ///< null: killed
 };
@@ -117,6 +121,11 @@
     void killEntry(site_entry &entry);
 
 private:
+    /// Clock of a process that starts now on a machine whose time of day is `*ahead` of the site's
+    /// clock.
+    std::shared_ptr<process_clock> startClock(const absl::Duration *ahead);
+    /// Environment of a process with that clock.
+    environment environmentOf(std::shared_ptr<process_clock> processClock);
     void send(const process_id &from, const process_id &to, const gang_message &message);
     void tickAll();
 };
--- a/include/hyssoppond/base/thread_pool_base.h
+++ b/include/hyssoppond/base/thread_pool_base.h
@@ -41,7 +41,7 @@
     std::vector<std::thread> m_threads;
 };
 
-/// Calls a function on its own thread whenever it is due. Thread-safe.
+/// Calls a function on its own thread whenever it is due by processNow(). Thread-safe.
 class deadline_timer
 {
 public:
@@ -58,10 +58,12 @@
 
 private:
     void runTimer();
+    /// Makes the timer expire when the next call is due or the thread has to end.
+    void arm() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
     std::function<absl::Time()> m_onDue;
+    const int m_timer; ///< file descriptor
     absl::Mutex m_mutex;
-    absl::CondVar m_changed;
     absl::Time m_due ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
     std::thread m_thread;
--- a/include/hyssoppond/platform/worker_port.h
+++ b/include/hyssoppond/platform/worker_port.h
@@ -53,6 +53,7 @@
 
 /// One worker. Completions may come late, in another order than the requests, or never. An error
 /// with execution::Unknown means that the request may have taken effect.
+/// A worker measures leases by a clock that, like a process_clock, is never stepped while it runs.
 class worker_port
 {
 public:
--- a/src/agent/agent_node.cpp
+++ b/src/agent/agent_node.cpp
@@ -2,6 +2,7 @@
 #include "hyssoppond/agent/agent_node_base.h"
 
 #include "hyssoppond/base/log_func.h"
+#include "hyssoppond/base/process_clock_base.h"
 #include "hyssoppond/gang/gang_codec_func.h"
 #include "serial_ports.h"
 
@@ -198,10 +199,10 @@
     m_stopping = true;
     m_link->leave();
     setLeaving(true);
-    while (absl::Now() < deadline && isBusy())
+    while (processNow() < deadline && isBusy())
         absl::SleepFor(IdlePollInterval);
-    m_http.stop(absl::Now() + absl::Seconds(1));
-    m_link->stop(std::min(deadline, absl::Now() + absl::Seconds(1)));
+    m_http.stop(processNow() + absl::Seconds(1));
+    m_link->stop(std::min(deadline, processNow() + absl::Seconds(1)));
     if (m_callStrand)
         m_callStrand->stop();
     if (m_gangStrand)
--- a/src/base/strand.cpp
+++ b/src/base/strand.cpp
@@ -1,7 +1,7 @@
 /// @file Implementation of the strand.
 #include "hyssoppond/base/strand_base.h"
 
-#include <absl/time/clock.h>
+#include "hyssoppond/base/process_clock_base.h"
 
 #include <algorithm>
 #include <utility>
@@ -36,7 +36,7 @@
         if (!m_started || m_stopping)
             return absl::InfiniteFuture();
         schedule();
-        return m_scheduled ? absl::InfiniteFuture() : absl::Now() + FullPoolRetryDelay;
+        return m_scheduled ? absl::InfiniteFuture() : processNow() + FullPoolRetryDelay;
     });
     // Tasks run only from here on, because runBatch() uses m_timer.
     const absl::MutexLock lock(&m_mutex);
@@ -66,7 +66,7 @@
         if (m_scheduled || !m_started)
             return true;
     }
-    m_timer->wakeAt(absl::Now() + FullPoolRetryDelay);
+    m_timer->wakeAt(processNow() + FullPoolRetryDelay);
     return true;
 }
 
@@ -83,13 +83,13 @@
     for (const auto &task : batch)
         task();
     m_tick();
-    absl::Time next = std::max(m_nextDeadline(), absl::Now() + MinTickInterval);
+    absl::Time next = std::max(m_nextDeadline(), processNow() + MinTickInterval);
     const absl::MutexLock lock(&m_mutex);
     m_scheduled = false;
     if (!m_tasks.empty()) {
         schedule();
         if (!m_scheduled)
-            next = std::min(next, absl::Now() + FullPoolRetryDelay);
+            next = std::min(next, processNow() + FullPoolRetryDelay);
     }
     // wakeAt() is called under the mutex. If the timer fired before m_scheduled is false, the tick
     // would be lost, and after stop() the timer may be destroyed as soon as the mutex is free.
--- a/src/base/thread_pool.cpp
+++ b/src/base/thread_pool.cpp
@@ -1,12 +1,15 @@
 /// @file Implementation of the thread pool and the timer.
 #include "hyssoppond/base/thread_pool_base.h"
 
-#include <absl/time/clock.h>
+#include "hyssoppond/base/process_clock_base.h"
 
 #include <algorithm>
+#include <stdexcept>
 #include <utility>
 
 #include <pthread.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
 
 namespace hyssoppond {
 namespace {
@@ -18,6 +21,15 @@
     pthread_setname_np(thread.native_handle(), name.substr(0, MaxThreadNameBytes).c_str());
 }
 
+/// Timer that no step of the time of day moves, and that expires during a suspension.
+int openTimer()
+{
+    const int timer = timerfd_create(CLOCK_BOOTTIME, TFD_CLOEXEC);
+    if (timer < 0)
+        throw std::runtime_error("timerfd_create failed; raise the limit of open files");
+    return timer;
+}
+
 } // namespace
 
 thread_pool::thread_pool(const std::string &name, std::size_t threads, std::size_t maxQueued)
@@ -75,6 +87,7 @@
 
 deadline_timer::deadline_timer(const std::string &name, std::function<absl::Time()> onDue)
     : m_onDue(std::move(onDue))
+    , m_timer(openTimer())
     , m_thread([this] { runTimer(); })
 {
     setThreadName(m_thread, name);
@@ -83,6 +96,7 @@
 deadline_timer::~deadline_timer()
 {
     stop();
+    close(m_timer);
 }
 
 void deadline_timer::wakeAt(absl::Time when)
@@ -91,7 +105,7 @@
     if (when >= m_due)
         return;
     m_due = when;
-    m_changed.Signal();
+    arm();
 }
 
 void deadline_timer::stop()
@@ -99,23 +113,42 @@
     {
         const absl::MutexLock lock(&m_mutex);
         m_stopping = true;
-        m_changed.Signal();
+        arm();
     }
     if (m_thread.joinable())
         m_thread.join();
 }
 
+void deadline_timer::arm()
+{
+    itimerspec expiry {}; // a value of 0 disarms the timer
+    if (m_stopping)
+        expiry.it_value.tv_nsec = 1;
+    else if (m_due != absl::InfiniteFuture())
+        expiry.it_value = absl::ToTimespec(std::max(m_due - processNow(), absl::Nanoseconds(1)));
+    timerfd_settime(m_timer, 0, &expiry, nullptr);
+}
+
 void deadline_timer::runTimer()
 {
     while (true) {
+        bool isDue = false;
         {
             const absl::MutexLock lock(&m_mutex);
-            while (!m_stopping && m_due > absl::Now())
-                m_changed.WaitWithDeadline(&m_mutex, m_due);
             if (m_stopping)
                 return;
+            isDue = m_due <= processNow();
             // m_due is reset before the call, so that a wakeAt() during the call is kept.
-            m_due = absl::InfiniteFuture();
+            if (isDue)
+                m_due = absl::InfiniteFuture();
+            else
+                arm();
+        }
+        if (!isDue) {
+            std::uint64_t expirations = 0;
+            [[maybe_unused]] const ssize_t bytesRead
+                = read(m_timer, &expirations, sizeof expirations);
+            continue;
         }
         const absl::Time next = m_onDue();
         const absl::MutexLock lock(&m_mutex);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,7 @@
 /// @file The daemon, which runs as an entry or as an agent depending on its settings.
 #include "hyssoppond/agent/agent_node_base.h"
 #include "hyssoppond/base/log_func.h"
+#include "hyssoppond/base/process_clock_base.h"
 #include "hyssoppond/base/settings_base.h"
 #include "hyssoppond/entry/entry_node_base.h"
 #include "hyssoppond/platform/http_log_port.h"
@@ -9,7 +10,6 @@
 #include "platform/platform_node.h"
 
 #include <absl/strings/str_format.h>
-#include <absl/time/clock.h>
 #include <csignal>
 #include <curl/curl.h>
 
@@ -120,7 +120,7 @@
 {
     endpoint self;
     self.agent = process_id(values.text("name"));
-    self.incarnation = static_cast<incarnation_number>(absl::ToUnixMicros(absl::Now()));
+    self.incarnation = static_cast<incarnation_number>(absl::ToUnixMicros(processNow()));
     self.control = addressOf(values.address("control"));
     self.zone = zone_id(values.text("zone"));
     if (values.text("role") == "entry")
@@ -167,7 +167,7 @@
     int signal = 0;
     sigwait(&signals, &signal);
     writeLog(log_level::Info, "leaving");
-    node->stop(absl::Now() + absl::Seconds(values.number("shutdown-seconds")));
+    node->stop(processNow() + absl::Seconds(values.number("shutdown-seconds")));
     writeLog(log_level::Info, "stopped");
     return 0;
 }
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -2,6 +2,7 @@
 #include "hyssoppond/entry/entry_node_base.h"
 
 #include "hyssoppond/base/log_func.h"
+#include "hyssoppond/base/process_clock_base.h"
 #include "hyssoppond/entry/config_value_func.h"
 #include "hyssoppond/gang/gang_codec_func.h"
 
@@ -98,7 +99,7 @@
         m_clusterStrand->post([this, id, proposed, onBound] {
             m_cluster->bindRequest(
                 id.team, id.request, proposed.agent, proposed.incarnation, proposed.until,
-                std::min(proposed.until, absl::Now() + BindTimeout),
+                std::min(proposed.until, processNow() + BindTimeout),
                 [this, onBound](const result<journal::binding_entry> &bound) {
                     m_callStrand->post([onBound, bound] {
                         if (!bound)
@@ -190,10 +191,10 @@
     m_callStrand->post([this] { m_router->drain(); });
     m_http.stop(deadline);
     m_clusterStrand->post([this] { m_cluster->leave(); });
-    if (deadline > absl::Now())
+    if (deadline > processNow())
         absl::SleepFor(ReleaseTime);
     m_link->leave();
-    m_link->stop(absl::Now() + ReleaseTime);
+    m_link->stop(processNow() + ReleaseTime);
     m_callStrand->stop();
     m_clusterStrand->stop();
     m_log.reset(); // its completions post to the stopped strands
--- a/src/entry/rpc_handlers.cpp
+++ b/src/entry/rpc_handlers.cpp
@@ -2,8 +2,9 @@
 #include "hyssoppond/entry/entry_node_base.h"
 #include "job_message_func.h"
 
+#include "hyssoppond/base/process_clock_base.h"
+
 #include <absl/strings/str_format.h>
-#include <absl/time/clock.h>
 
 #include <map>
 #include <memory>
@@ -27,14 +28,14 @@
     if (millis < 0 || millis > maxMillis)
         return fail(reason::InvalidArgument,
                     absl::StrFormat("timeout_ms is %d; allowed: 0 to %d", millis, maxMillis));
-    return absl::Now() + (millis == 0 ? fallback : absl::Milliseconds(millis));
+    return processNow() + (millis == 0 ? fallback : absl::Milliseconds(millis));
 }
 
 /// Error for a request that arrives when the task queue of the entry is full.
 error overloaded()
 {
     return {reason::Overloaded, "this entry is overloaded; retry at another one", execution::NotRun,
-            absl::Now() + absl::Seconds(1)};
+            processNow() + absl::Seconds(1)};
 }
 
 /// Posts a task, or replies Overloaded if the queue is full.
@@ -96,11 +97,11 @@
                     return reply(
                         fail(reason::Leaving,
                              "this entry is shutting down; send the request to another entry",
-                             execution::NotRun, absl::Now()));
-                const absl::Time receivedAt = absl::Now();
+                             execution::NotRun, processNow()));
+                const absl::Time receivedAt = processNow();
                 handler(message,
                         [entry, receivedAt, reply = std::move(reply)](result<response> answer) {
-                            entry->m_counters->observe("request", absl::Now() - receivedAt);
+                            entry->m_counters->observe("request", processNow() - receivedAt);
                             reply(std::move(answer));
                         });
             }));
@@ -131,7 +132,7 @@
             if (!deadline)
                 return reply(tl::unexpected<error>(deadline.error()));
             postOrRefuse<v1::SubmitResponse>(cluster(), reply, [this, request, reply, deadline] {
-                const job_spec spec = fromMessage(request, absl::Now());
+                const job_spec spec = fromMessage(request, processNow());
                 const bool existed = controller()->view(spec.id).has_value();
                 controller()->submit(spec, request.retry(), *deadline,
                                      [reply, existed](const result<job_view> &job) {
@@ -187,7 +188,7 @@
     add<v1::JobRequest, v1::Job>(name, [this, kind](const auto &request, const auto &reply) {
         postOrRefuse<v1::Job>(cluster(), reply, [this, kind, request, reply] {
             controller()->command(job_id(request.job_id()), kind, request_id(request.request_id()),
-                                  absl::Now() + absl::Seconds(5), jobReply<v1::Job>(reply));
+                                  processNow() + absl::Seconds(5), jobReply<v1::Job>(reply));
         });
     });
 }
--- a/src/node/node_link.cpp
+++ b/src/node/node_link.cpp
@@ -1,8 +1,9 @@
 /// @file Transport, membership and configuration of one process.
 #include "hyssoppond/node/node_link_base.h"
 
+#include "hyssoppond/base/process_clock_base.h"
+
 #include <absl/random/random.h>
-#include <absl/time/clock.h>
 
 #include <utility>
 
@@ -19,7 +20,7 @@
 /// System clock and a random generator for each thread.
 environment systemEnvironment()
 {
-    return {[] { return absl::Now(); },
+    return {[] { return processNow(); },
             [] {
                 thread_local absl::BitGen generator;
                 return absl::Uniform<std::uint64_t>(generator);
--- a/src/platform/http_exchange.cpp
+++ b/src/platform/http_exchange.cpp
@@ -1,7 +1,7 @@
 /// @file Implementation of the HTTP exchange.
 #include "http_exchange_base.h"
 
-#include <absl/time/clock.h>
+#include "hyssoppond/base/process_clock_base.h"
 
 #include <algorithm>
 
@@ -49,7 +49,7 @@
                                absl::Time deadline)
 {
     http_answer answer;
-    const absl::Duration remaining = deadline - absl::Now();
+    const absl::Duration remaining = deadline - processNow();
     // libcurl repeats a request by itself when a kept connection turns out to be closed. A failed
     // connect therefore proves that nothing was sent only if the handle is new.
     const bool isNewHandle = !m_handle;
--- a/src/platform/http_runner_port.cpp
+++ b/src/platform/http_runner_port.cpp
@@ -1,10 +1,11 @@
 /// @file Implementation of the adapter to a runner.
 #include "hyssoppond/platform/http_runner_port.h"
 
+#include "hyssoppond/base/process_clock_base.h"
+
 #include "http_exchange_base.h"
 
 #include <absl/strings/str_format.h>
-#include <absl/time/clock.h>
 
 #include <utility>
 
@@ -25,7 +26,7 @@
         return std::move(answer.body);
     if (answer.status == 429) {
         return fail(reason::Overloaded, "the runner has no free slot; retry later",
-                    execution::NotRun, absl::Now());
+                    execution::NotRun, processNow());
     }
     if (answer.status != 0) {
         return fail(
@@ -57,7 +58,7 @@
     });
     if (!queued) {
         (*sharedDone)(fail(reason::Overloaded, "too many calls wait for the runner; retry later",
-                           execution::NotRun, absl::Now()));
+                           execution::NotRun, processNow()));
     }
 }
 
--- a/src/platform/http_worker_port.cpp
+++ b/src/platform/http_worker_port.cpp
@@ -1,6 +1,7 @@
 /// @file Worker port over libcurl.
 #include "hyssoppond/platform/http_worker_port.h"
 
+#include "hyssoppond/base/process_clock_base.h"
 #include "hyssoppond/platform/worker_json_func.h"
 
 #include <curl/curl.h>
@@ -38,7 +39,7 @@
     return {timedOut ? reason::ConnectionSilent : reason::WorkerUnreachable,
             std::string("the exchange with the worker failed: ") + curl_easy_strerror(code)
                 + "; list its tasks to learn the outcome",
-            neverSent ? execution::NotRun : execution::Unknown, absl::Now()};
+            neverSent ? execution::NotRun : execution::Unknown, processNow()};
 }
 
 /// Sends one request and waits for the answer: POST with `body`, GET if it is empty.
@@ -133,7 +134,7 @@
             return m_queue.push_back(std::move(request));
     }
     request.done(fail(reason::Overloaded, "too many requests to the worker; repeat later",
-                      execution::NotRun, absl::Now() + m_options.exchangeTimeout));
+                      execution::NotRun, processNow() + m_options.exchangeTimeout));
 }
 
 void http_worker_port::processQueue()
@@ -149,7 +150,7 @@
             next = std::move(m_queue.front());
             m_queue.pop_front();
         }
-        const absl::Duration remaining = next.deadline - absl::Now();
+        const absl::Duration remaining = next.deadline - processNow();
         if (remaining < absl::Milliseconds(1)) {
             next.done(fail(reason::Expired, "the request waited past its deadline; repeat it"));
             continue;
@@ -180,7 +181,7 @@
 
 void http_worker_port::startTask(task_start order, std::function<void(result<task_status>)> done)
 {
-    post("/tasks/start", toJson(order).dump(), absl::Now() + m_options.exchangeTimeout,
+    post("/tasks/start", toJson(order).dump(), processNow() + m_options.exchangeTimeout,
          std::move(done));
 }
 
@@ -188,7 +189,7 @@
                                   std::function<void(result<task_status>)> done)
 {
     const nlohmann::json body {{"id", toJson(id)}, {"leaseUntil", absl::ToUnixMicros(leaseUntil)}};
-    post("/tasks/renew", body.dump(), absl::Now() + m_options.exchangeTimeout, std::move(done));
+    post("/tasks/renew", body.dump(), processNow() + m_options.exchangeTimeout, std::move(done));
 }
 
 void http_worker_port::checkpointTask(task_id id, absl::Time deadline,
@@ -202,18 +203,18 @@
                                     std::function<void(result<task_status>)> done)
 {
     const nlohmann::json body {{"id", toJson(id)}, {"percent", percent}};
-    post("/tasks/throttle", body.dump(), absl::Now() + m_options.exchangeTimeout, std::move(done));
+    post("/tasks/throttle", body.dump(), processNow() + m_options.exchangeTimeout, std::move(done));
 }
 
 void http_worker_port::stopTask(task_id id, std::function<void(result<task_status>)> done)
 {
     const nlohmann::json body {{"id", toJson(id)}};
-    post("/tasks/stop", body.dump(), absl::Now() + m_options.exchangeTimeout, std::move(done));
+    post("/tasks/stop", body.dump(), processNow() + m_options.exchangeTimeout, std::move(done));
 }
 
 void http_worker_port::listTasks(std::function<void(result<std::vector<task_status>>)> done)
 {
-    enqueue({"/tasks", "", absl::Now() + m_options.exchangeTimeout,
+    enqueue({"/tasks", "", processNow() + m_options.exchangeTimeout,
              [done = std::move(done)](result<std::string> text) {
                  if (!text)
                      return done(tl::unexpected(text.error()));
--- a/src/rpc/rpc_client.cpp
+++ b/src/rpc/rpc_client.cpp
@@ -1,6 +1,8 @@
 /// @file Implementation of the client of the remote procedure calls.
 #include "hyssoppond/rpc/rpc_client_base.h"
 
+#include "hyssoppond/base/process_clock_base.h"
+
 #include "rpc_codec_func.h"
 
 #include <absl/random/random.h>
@@ -83,7 +85,7 @@
     curl_easy_reset(curl);
     const std::string url = urlOf(entry, path);
     const auto timeoutMs
-        = std::max<std::int64_t>(1, absl::ToInt64Milliseconds(deadline - absl::Now()));
+        = std::max<std::int64_t>(1, absl::ToInt64Milliseconds(deadline - processNow()));
     const auto connectTimeoutMs = std::min(timeoutMs, absl::ToInt64Milliseconds(ConnectTimeout));
     curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
     curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
@@ -118,7 +120,7 @@
                 absl::StrFormat("no answer from entry %s:%d: %s; check --entry and that the entry "
                                 "runs",
                                 entry.host, entry.port, curl_easy_strerror(code)),
-                neverSent(code) ? execution::NotRun : execution::Unknown, absl::Now());
+                neverSent(code) ? execution::NotRun : execution::Unknown, processNow());
 }
 
 rpc_client::rpc_client(rpc_client_options options)
@@ -148,7 +150,7 @@
     for (std::size_t attempt = 1;; ++attempt) {
         // Half of the remaining time, at least 1 s, so that one silent entry does not use all of
         // it.
-        const absl::Time now = absl::Now();
+        const absl::Time now = processNow();
         const absl::Duration attemptTimeout = entryCount > 1 && mayRepeat == repetition::Allowed
             ? std::max(absl::Seconds(1), (deadline - now) / 2)
             : deadline - now;
@@ -166,7 +168,7 @@
             const auto decoded = decodeAnswer(
                 httpAnswer->body, httpAnswer->binary ? body_encoding::Binary : body_encoding::Json,
                 &message);
-            problem = decoded ? fromMessage(message, absl::Now()) : decoded.error();
+            problem = decoded ? fromMessage(message, processNow()) : decoded.error();
         } else {
             problem = httpAnswer.error();
         }
@@ -180,11 +182,11 @@
         // The first attempt at each entry follows without delay.
         const absl::Duration jitter = backoff * absl::Uniform<double>(client.random, 0.0, 1.0)
             * (attempt < entryCount ? 0 : 1);
-        const absl::Time retryTime
-            = std::max(absl::Now() + jitter, attempt < entryCount ? absl::Now() : problem.retryAt);
+        const absl::Time retryTime = std::max(
+            processNow() + jitter, attempt < entryCount ? processNow() : problem.retryAt);
         if (!mayResend || !retryable || retryTime >= deadline)
             return tl::unexpected<error>(std::move(problem));
-        absl::SleepFor(retryTime - absl::Now());
+        absl::SleepFor(retryTime - processNow());
         backoff = std::min(backoff * 2, MaxBackoff);
         if (problem.state == execution::Unknown)
             body = encodeBody(*copyMarkedAsRetry(request), encoding);
--- a/src/rpc/rpc_server.cpp
+++ b/src/rpc/rpc_server.cpp
@@ -1,6 +1,8 @@
 /// @file Implementation of the server of the remote procedure calls.
 #include "hyssoppond/rpc/rpc_server_base.h"
 
+#include "hyssoppond/base/process_clock_base.h"
+
 #include "rpc_codec_func.h"
 
 #include <absl/strings/match.h>
@@ -30,7 +32,7 @@
 http_page errorPage(const error &problem, body_encoding encoding)
 {
     return {httpStatusOf(problem), contentTypeOf(encoding),
-            encodeBody(toMessage(problem, absl::Now()), encoding)};
+            encodeBody(toMessage(problem, processNow()), encoding)};
 }
 
 } // namespace
@@ -294,7 +296,7 @@
     if (server.daemon == nullptr)
         return;
     const MHD_socket listener = MHD_quiesce_daemon(server.daemon);
-    while (inFlight() > 0 && absl::Now() < deadline)
+    while (inFlight() > 0 && processNow() < deadline)
         absl::SleepFor(absl::Milliseconds(10));
     std::vector<std::pair<std::shared_ptr<exchange>, body_encoding>> unanswered;
     {
@@ -306,7 +308,7 @@
         server.finish(current,
                       errorPage({reason::Leaving,
                                  "this entry stopped before the answer came; ask another entry",
-                                 execution::Unknown, absl::Now()},
+                                 execution::Unknown, processNow()},
                                 encoding));
     }
     for (int i = 0; i < 50 && inFlight() > 0; ++i)
--- a/src/tool/job_commands.cpp
+++ b/src/tool/job_commands.cpp
@@ -3,6 +3,7 @@
 #include "command_groups_func.h"
 #include "tool_print_func.h"
 
+#include "hyssoppond/base/process_clock_base.h"
 #include "hyssoppond/world/job_type.h"
 
 #include <absl/strings/ascii.h>
@@ -102,8 +103,9 @@
     if (checkOnly)
         return exit_code::Ok;
     v1::SubmitResponse response;
-    const auto outcome = context->client->call("/hyssoppond.v1.Jobs/Submit", *request, &response,
-                                               absl::Now() + context->timeout, repetition::Allowed);
+    const auto outcome
+        = context->client->call("/hyssoppond.v1.Jobs/Submit", *request, &response,
+                                processNow() + context->timeout, repetition::Allowed);
     if (!outcome)
         return tl::unexpected<error>(outcome.error());
     printJob(context, response.job());
@@ -176,19 +178,19 @@
 
 result<exit_code> waitForJob(tool_context *context, const std::string &jobId)
 {
-    const absl::Time deadline = absl::Now() + context->timeout;
-    const absl::Time graceEnd = std::min(deadline, absl::Now() + UnknownJobGrace);
+    const absl::Time deadline = processNow() + context->timeout;
+    const absl::Time graceEnd = std::min(deadline, processNow() + UnknownJobGrace);
     std::string printedState;
     while (true) {
-        const absl::Duration requestTime = std::min(deadline - absl::Now(), MaxWaitRequestTime);
+        const absl::Duration requestTime = std::min(deadline - processNow(), MaxWaitRequestTime);
         v1::WaitRequest request;
         request.set_job_id(jobId);
         request.set_timeout_ms(std::max<std::int64_t>(1, absl::ToInt64Milliseconds(requestTime)));
         v1::Job answer;
         const auto outcome = context->client->call("/hyssoppond.v1.Jobs/Wait", request, &answer,
-                                                   absl::Now() + requestTime + absl::Seconds(10),
+                                                   processNow() + requestTime + absl::Seconds(10),
                                                    repetition::Allowed);
-        if (!outcome && outcome.error().why == reason::UnknownJob && absl::Now() < graceEnd) {
+        if (!outcome && outcome.error().why == reason::UnknownJob && processNow() < graceEnd) {
             absl::SleepFor(UnknownJobRetryInterval);
             continue;
         }
@@ -202,7 +204,7 @@
         if (state != printedState && context->progress != nullptr)
             *context->progress << "job " << jobId << " is " << state << "\n";
         printedState = state;
-        if (absl::Now() >= deadline)
+        if (processNow() >= deadline)
             return fail(reason::Expired,
                         absl::StrFormat("job %s is still %s; wait again or with a longer "
                                         "--timeout",
--- a/src/tool/site_commands.cpp
+++ b/src/tool/site_commands.cpp
@@ -3,8 +3,9 @@
 #include "command_groups_func.h"
 #include "tool_print_func.h"
 
+#include "hyssoppond/base/process_clock_base.h"
+
 #include <absl/strings/str_format.h>
-#include <absl/time/clock.h>
 
 namespace hyssoppond {
 
@@ -36,8 +37,9 @@
     v1::CallResponse response;
     // The request id or the token identifies the call, so that it may be sent to another entry as
     // well.
-    const auto outcome = context->client->call("/hyssoppond.v1.Calls/Call", request, &response,
-                                               absl::Now() + context->timeout, repetition::Allowed);
+    const auto outcome
+        = context->client->call("/hyssoppond.v1.Calls/Call", request, &response,
+                                processNow() + context->timeout, repetition::Allowed);
     if (!outcome)
         return tl::unexpected<error>(outcome.error());
     print(context, response, {{response.payload()}});
@@ -185,7 +187,7 @@
         return tl::unexpected<error>(parsed.error());
     if (checkOnly)
         return exit_code::Ok;
-    const auto page = context->client->get("/metrics", absl::Now() + context->timeout);
+    const auto page = context->client->get("/metrics", processNow() + context->timeout);
     if (!page)
         return tl::unexpected<error>(page.error());
     *context->out << *page;
--- a/src/tool/tool.cpp
+++ b/src/tool/tool.cpp
@@ -4,13 +4,13 @@
 #include "command_groups_func.h"
 #include "tool_print_func.h"
 
+#include "hyssoppond/base/process_clock_base.h"
 #include "hyssoppond/base/settings_base.h"
 
 #include <absl/random/random.h>
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
-#include <absl/time/clock.h>
 
 #include <algorithm>
 #include <iostream>
@@ -156,7 +156,7 @@
                            google::protobuf::Message *answer)
 {
     return context->client->call("/hyssoppond.v1." + method, request, answer,
-                                 absl::Now() + context->timeout, repetition::Allowed);
+                                 processNow() + context->timeout, repetition::Allowed);
 }
 
 result<v1::Urgency> parseUrgency(const std::string &text)
--- a/src/transport/io_loop.cpp
+++ b/src/transport/io_loop.cpp
@@ -1,7 +1,7 @@
 /// @file The I/O thread: serves connections and their deadlines, and waits for socket events.
 #include "transport_state.h"
 
-#include <absl/time/clock.h>
+#include "hyssoppond/base/process_clock_base.h"
 
 #include <algorithm>
 #include <utility>
@@ -26,7 +26,7 @@
 void transport::state::run()
 {
     while (true) {
-        now = absl::Now();
+        now = processNow();
         serveQueues();
         const absl::Time due = checkDeadlines();
         if (isDone())
@@ -202,10 +202,10 @@
         pollDescriptors.push_back({conn->fd(), pollEvents(*conn), 0});
         peers.push_back(to);
     }
-    const absl::Duration wait = std::max(until - absl::Now(), absl::ZeroDuration());
+    const absl::Duration wait = std::max(until - processNow(), absl::ZeroDuration());
     poll(pollDescriptors.data(), pollDescriptors.size(),
          static_cast<int>(absl::ToInt64Milliseconds(wait)) + 1);
-    now = absl::Now();
+    now = processNow();
     std::uint64_t wakeupCount = 0;
     [[maybe_unused]] const ssize_t bytesRead
         = read(wakeup.get(), &wakeupCount, sizeof(wakeupCount));
--- a/standins/worker/standin_worker.cpp
+++ b/standins/worker/standin_worker.cpp
@@ -1,10 +1,10 @@
 /// @file Tasks of the worker stand-in.
 #include "standin_worker_base.h"
 
+#include "hyssoppond/base/process_clock_base.h"
 #include "hyssoppond/platform/worker_json_func.h"
 
 #include <absl/strings/numbers.h>
-#include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -151,7 +151,7 @@
 standin_answer standin_worker::handle(const std::string &method, const std::string &path,
                                       const std::string &body)
 {
-    const absl::Time now = absl::Now();
+    const absl::Time now = processNow();
     const absl::MutexLock lock(&m_mutex);
     advance(now);
     const bool admin = path.starts_with("/admin/") || path == "/runs";
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -143,6 +143,97 @@
     EXPECT_EQ(faults::violationOf(site, job_id("j"), 4, true), "");
 }
 
+/// Step of the time of day of one machine while its processes run.
+class gang_clock_step_test : public testing::TestWithParam<absl::Duration>
+{
+protected:
+    /// Starts a gang on the first two of four workers. When it has ended, a second attempt begins
+    /// on the others.
+    void startGang(gang_site &site)
+    {
+        ASSERT_TRUE(site.coordinator().start(site.placementOf("j", 1, 2)).has_value());
+        site.onEnded = [&site](const faults::attempt_end &end) {
+            if (end.attempt != 1)
+                return;
+            gang_placement next = site.placementOf("j", 2, 2);
+            for (std::size_t i = 0; i < 2; ++i) {
+                next.members[i].member.worker = site.nodes[i + 2]->worker;
+                next.members[i].member.agent = site.nodes[i + 2]->agent;
+            }
+            EXPECT_TRUE(site.coordinator().start(next).has_value());
+        };
+        site.clock.runFor(absl::Seconds(3));
+        ASSERT_EQ(runningTasks(site), 2);
+    }
+    /// Fails the first member; the second one cannot be stopped and runs until its lease ends.
+    static void failFirstMember(gang_site &site)
+    {
+        site.nodes[0]->current().finish({job_id("j"), 1, 0}, task_state::Failed);
+    }
+    static void expectOneRunAtATime(gang_site &site)
+    {
+        site.clock.runFor(absl::Seconds(10));
+        EXPECT_EQ(faults::violationOf(site, job_id("j"), 2, true), "");
+        EXPECT_EQ(site.ends.size(), 1);
+        EXPECT_EQ(runningTasks(site), 2);
+    }
+};
+
+// Guards against two runs of a gang: the time of day of the coordinator's machine is stepped while
+// it waits for the end of the lease of a member that it cannot reach.
+TEST_P(gang_clock_step_test, coordinatorWaitsForTheLastLease)
+{
+    for (absl::Duration phase; phase < absl::Seconds(1); phase += absl::Milliseconds(100)) {
+        gang_site site(1, 4, {});
+        faults::site_entry &entry = site.addEntry("entry");
+        startGang(site);
+        site.clock.runFor(phase);
+        for (const process_id &other : {entry.id, site.nodes[0]->agent}) {
+            site.network.cut(other, site.nodes[1]->agent);
+            site.network.cut(site.nodes[1]->agent, other);
+        }
+        failFirstMember(site);
+        site.clock.runFor(absl::Milliseconds(500));
+        entry.timeOfDayAhead += GetParam();
+        expectOneRunAtATime(site);
+    }
+}
+
+// Guards against two runs of a gang: the time of day of an agent's machine is stepped while the
+// agent waits for the end of the lease of a task on a worker that it cannot reach.
+TEST_P(gang_clock_step_test, agentWaitsForTheLastLease)
+{
+    for (absl::Duration phase; phase < absl::Seconds(1); phase += absl::Milliseconds(100)) {
+        gang_site site(1, 4, {});
+        site.addEntry("entry");
+        startGang(site);
+        site.clock.runFor(phase);
+        site.nodes[1]->current().faults.unreachable = true;
+        failFirstMember(site);
+        site.clock.runFor(absl::Milliseconds(500));
+        site.nodes[1]->timeOfDayAhead += GetParam();
+        expectOneRunAtATime(site);
+    }
+}
+
+// Guards against a gang that ends although nothing failed, as the time of day of a machine is
+// stepped.
+TEST_P(gang_clock_step_test, gangRunsOn)
+{
+    for (std::size_t stepped = 0; stepped < 3; ++stepped) {
+        gang_site site(1, 4, {});
+        faults::site_entry &entry = site.addEntry("entry");
+        startGang(site);
+        (stepped == 2 ? entry.timeOfDayAhead : site.nodes[stepped]->timeOfDayAhead) += GetParam();
+        site.clock.runFor(absl::Seconds(20));
+        EXPECT_EQ(site.ends.size(), 0) << "process " << stepped;
+        EXPECT_EQ(runningTasks(site), 2);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(steps, gang_clock_step_test,
+                         testing::Values(absl::Seconds(2), absl::Seconds(-2)));
+
 // Guards against records of ended attempts that are kept without bound.
 TEST(gang_test, forgetsEndedAttempts)
 {
