A new process of the agent knows which heartbeats are old

The newest heartbeat was known to one process of the agent only. If the agent started again while its worker drained, a heartbeat from before the draining was the first one that the new process saw, and it announced the worker as ready.

Records of earlier versions lack the number, and it then counts as 0, which no heartbeat is older than.

--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -152,18 +152,21 @@
     worker_description worker;
     /// Offset of the first of the announcements of this incarnation in a row; 0 if it is not known.
     std::uint64_t presentSince = 0;
+    std::uint64_t heartbeatNumber = 0; ///< of the newest heartbeat of the worker; 0 if not known
     template<class archive>
     void save(archive &ar) const
     {
-        ar(agent, hasWorker, worker, presentSince);
+        ar(agent, hasWorker, worker, presentSince, heartbeatNumber);
     }
-    /// Records of earlier versions end before presentSince.
+    /// Records of earlier versions end before presentSince or heartbeatNumber.
     template<class archive>
     void load(archive &ar)
     {
         ar(agent, hasWorker, worker);
         if (ar.remaining() != 0)
             ar(presentSince);
+        if (ar.remaining() != 0)
+            ar(heartbeatNumber);
     }
     /// Offset before which orders for this incarnation are void, if this record has `offset`.
     std::uint64_t firstValidOrder(std::uint64_t offset) const
--- a/src/batch/batch_agent_journal.cpp
+++ b/src/batch/batch_agent_journal.cpp
@@ -166,6 +166,16 @@
     m_newestAnnouncement = announced;
     m_newestAnnouncement->presentSince = announced.firstValidOrder(offset);
     m_newestAnnouncementOffset = offset;
+    if (!announced.hasWorker)
+        return;
+    // An earlier process may have used later heartbeats than the first ones that reach this one.
+    const bool isSame
+        = m_newestHeartbeat && m_newestHeartbeat->worker.isSameIncarnation(announced.worker);
+    if (m_newestHeartbeat && !(isSame && m_newestHeartbeat->number < announced.heartbeatNumber))
+        return;
+    m_newestHeartbeat = worker_heartbeat {announced.worker, announced.heartbeatNumber};
+    if (m_description && m_description->isSameIncarnation(announced.worker))
+        m_description = announced.worker;
 }
 
 void batch_agent::markEnded(const item_run &run)
--- a/src/batch/batch_agent_worker.cpp
+++ b/src/batch/batch_agent_worker.cpp
@@ -212,8 +212,10 @@
     agent_announced record;
     record.agent = m_options.agent;
     record.hasWorker = isDescribed();
-    if (record.hasWorker)
+    if (record.hasWorker) {
         record.worker = *m_description;
+        record.heartbeatNumber = m_newestHeartbeat->number;
+    }
     // Announcements begin after all those of earlier processes were read, so the newest one is
     // known.
     const bool wasPresent = m_newestAnnouncement && m_newestAnnouncement->hasWorker
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -423,7 +423,8 @@
 
     void heartbeat(const std::string &name, const std::shared_ptr<agent_process> &siteProcess)
     {
-        siteProcess->node->onHeartbeat(workers.at(name)->heartbeat());
+        if (!workers.at(name)->faults.sendsNoHeartbeats)
+            siteProcess->node->onHeartbeat(workers.at(name)->heartbeat());
         clock.every(HeartbeatInterval, [this, name, siteProcess] {
             if (!*siteProcess->alive)
                 return false;
--- a/tests/batch_worker_report_test.cpp
+++ b/tests/batch_worker_report_test.cpp
@@ -418,6 +418,26 @@
     EXPECT_EQ(m_site->history.starts, 0U) << decisions();
 }
 
+// Guards against the same after a restart of the agent, whose new process has seen no heartbeat
+// that says that the worker drains.
+TEST_F(batch_worker_report_test, lateHeartbeatDoesNotEndTheDrainingAtANewProcessOfTheAgent)
+{
+    for (const absl::Duration arrival : {absl::ZeroDuration(), absl::Milliseconds(500)}) {
+        start(1);
+        const worker_heartbeat late = workerOf("agent-0").heartbeat();
+        workerOf("agent-0").setDraining(0);
+        m_site->clock.runFor(absl::Seconds(2));
+        workerOf("agent-0").faults.sendsNoHeartbeats = true;
+        m_site->kill("agent-0");
+        m_site->startAgent("agent-0");
+        m_site->clock.runFor(arrival);
+        agentOf("agent-0").onHeartbeat(late);
+        m_site->clock.runFor(absl::Seconds(1));
+        EXPECT_EQ(startItem(absl::Seconds(20)), "") << decisions();
+        EXPECT_EQ(m_site->history.starts, 0U) << decisions();
+    }
+}
+
 // Guards against work that is started on a worker that has left, because its last heartbeat arrives
 // twice.
 TEST_F(batch_worker_report_test, repeatedHeartbeatDoesNotBringBackAWorkerThatLeft)
