A late heartbeat that a new process of the agent gets first ends no runs

A worker restarts, is announced and runs items; its agent starts again, and the first heartbeat that the new process gets is a late one of the incarnation before. A poll then shows the present incarnation, of which this process has no heartbeat, so it announced that there is no worker: the decider took the runs for lost and ordered them again while they went on.

Cause: since "A restarted worker is announced when it has described itself", only heartbeats of the own process counted as a description. The announcement of an earlier process of the agent describes the incarnation as well. When an answer shows another incarnation, the agent now takes over what the newest announcement says of it, and a heartbeat of it that came while the poll was on its way, which was thrown away ("report refuted") before.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -164,6 +164,10 @@
     void sendPoll(poll_request request, std::function<void(const poll_answer &)> done);
     /// Asks the worker whether it is the incarnation of m_candidate.
     void probe();
+    /// Takes the worker for the incarnation that answered a poll, which began at `workerStartMs`.
+    void onRestartSeen(unix_ms workerStartMs);
+    /// Uses the heartbeat of m_candidate if the worker is known to be that incarnation by now.
+    void useCandidateIfPresent();
     void onProbe(const worker_heartbeat &heartbeat, const poll_answer &answer);
     void onPoll(const poll_answer &answer, std::uint64_t sentToken, std::uint64_t workerIncarnation,
                 absl::Time sentAt);
--- a/src/batch/batch_agent_poll.cpp
+++ b/src/batch/batch_agent_poll.cpp
@@ -151,9 +151,7 @@
     if (!m_description || workerIncarnation != m_workerIncarnation)
         return; // the poll was for an earlier incarnation
     if (answer.workerStartMs && *answer.workerStartMs != m_description->workerStartMs) {
-        logDecision("worker restarted", m_description->worker, "seen in its answer to a poll");
-        m_description->workerStartMs = *answer.workerStartMs;
-        beginWorkerIncarnation();
+        onRestartSeen(*answer.workerStartMs);
         return;
     }
     m_incarnationConfirmedAt = now;
--- a/src/batch/batch_agent_worker.cpp
+++ b/src/batch/batch_agent_worker.cpp
@@ -95,6 +95,30 @@
     supersedeOrders();
 }
 
+void batch_agent::onRestartSeen(unix_ms workerStartMs)
+{
+    logDecision("worker restarted", m_description->worker, "seen in its answer to a poll");
+    m_description->workerStartMs = workerStartMs;
+    // The agent may have known the present incarnation, and taken a late heartbeat for a newer one.
+    const bool isAnnounced = m_newestAnnouncement && m_newestAnnouncement->hasWorker
+        && m_newestAnnouncement->worker.isSameIncarnation(*m_description);
+    if (isAnnounced) {
+        m_description = m_newestAnnouncement->worker;
+        m_newestHeartbeat = {*m_description, m_newestAnnouncement->heartbeatNumber};
+    }
+    beginWorkerIncarnation();
+    useCandidateIfPresent();
+}
+
+void batch_agent::useCandidateIfPresent()
+{
+    if (!m_candidate || !m_candidate->worker.isSameIncarnation(*m_description))
+        return;
+    const worker_heartbeat heartbeat = *m_candidate;
+    m_candidate.reset();
+    onHeartbeat(heartbeat);
+}
+
 void batch_agent::onWorkerLeft(const std::string &worker, std::function<void()> done)
 {
     const bool known = m_description && m_description->worker == worker;
@@ -272,6 +296,10 @@
     const unix_ms startMs = answer.workerStartMs.value_or(candidate.workerStartMs);
     const bool isPresent
         = candidate.worker == m_description->worker && startMs == m_description->workerStartMs;
+    if (isPresent)
+        useCandidateIfPresent();
+    if (!m_candidate)
+        return;
     if (answer.outcome == order_outcome::WorkerRestarted || isPresent) {
         logDecision("report refuted", candidate.worker,
                     absl::StrCat("worker incarnation ", candidate.workerStartMs));
--- a/tests/batch_worker_report_test.cpp
+++ b/tests/batch_worker_report_test.cpp
@@ -549,6 +549,58 @@
     EXPECT_EQ(m_site->history.starts, 2U) << decisions();
 }
 
+// Guards against two runs of one item: the first heartbeat that a new process of the agent gets is
+// a late one of the worker's earlier incarnation, and the agent announces that there is no worker.
+TEST_F(batch_worker_report_test, lateHeartbeatOfAnEarlierIncarnationEndsNoRuns)
+{
+    start(2);
+    std::map<std::string, worker_heartbeat> late;
+    for (auto &[name, worker] : m_site->workers) {
+        late[name] = worker->heartbeat();
+        worker->restart();
+    }
+    m_site->clock.runFor(absl::Seconds(4));
+    const std::string agent = startItem(absl::Seconds(20));
+    ASSERT_NE(agent, "") << decisions();
+    workerOf(agent).faults.sendsNoHeartbeats = true;
+    m_site->kill(agent);
+    m_site->startAgent(agent);
+    agentOf(agent).onHeartbeat(late[agent]);
+    m_site->clock.runFor(absl::Seconds(2));
+    workerOf(agent).faults.sendsNoHeartbeats = false;
+    m_site->clock.runFor(absl::Seconds(40));
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << decisions();
+    EXPECT_EQ(m_site->history.starts, 1U) << decisions();
+    EXPECT_EQ(status(), job_status::Completed) << decisions();
+}
+
+// Guards against a worker that gets no work until its next heartbeat, because the one that came
+// while a poll showed its restart was thrown away.
+TEST_F(batch_worker_report_test, heartbeatDuringThePollThatShowsARestartIsUsed)
+{
+    start(1);
+    ASSERT_EQ(startItem(absl::Seconds(5)), "agent-0");
+    fake_item_worker &worker = workerOf("agent-0");
+    item_worker_port &port = m_site->agents.at("agent-0")->worker;
+    const unix_ms earlierStartMs = worker.description().workerStartMs;
+    bool sent = false;
+    port.poll = [&, send = port.poll](const poll_request &request,
+                                      const std::function<void(poll_answer)> &done) {
+        send(request, [&, done](const poll_answer &answer) {
+            if (!sent && answer.workerStartMs && *answer.workerStartMs != earlierStartMs) {
+                sent = true;
+                agentOf("agent-0").onHeartbeat(worker.heartbeat());
+            }
+            done(answer);
+        });
+    };
+    worker.faults.sendsNoHeartbeats = true;
+    worker.restart();
+    m_site->clock.runFor(absl::Seconds(4));
+    EXPECT_TRUE(sent) << decisions();
+    EXPECT_EQ(m_site->history.starts, 2U) << decisions();
+}
+
 // Guards against two runs of one item, and against items that are never run, when workers leave,
 // are replaced or are named by odd and delayed reports while agents and connections fail.
 class batch_worker_report_schedule_test : public testing::TestWithParam<std::uint64_t>
