store_relay: repetitions of refused appends no longer keep the store busy

The partition of the heartbeats stayed full. It carries out one append at a time. While the store is slow an append takes 60 times as long, and what the store carries out late joins the queue whatever waits there. A heartbeat without an answer was sent again by up to four peers, and early as long as orders needed one, so that 55 agents made some 250 appends a second. After the disturbance the queue gave out 8 old heartbeats a second for 25 s and more, and the others were refused: 40 a second sent directly and 300 through peers. A refusal also made the process avoid the direct way for all topics, so that heartbeats were not sent at all.

Appends by peers now take from a retry budget, which gets them back when a peer answers: they cost nothing for a machine that is turned away, and stop, for a pause that grows, where peers fail too. A refused append counts for its topic only. An entry passes on one append a second to a topic that refused it, and none while the store is slow. Urgent appends, the heartbeats, are sent directly if no peer can. Heartbeats become rarer while none is stored, and are sent early only after one that was. Repetitions of log_writer back off exponentially with jitter.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -133,6 +133,7 @@
     void sendHeartbeat();
     /// Sends the next heartbeat as soon as it may be, as leases depend on the last stored one.
     void hastenHeartbeat();
+    absl::Duration nextHeartbeatInterval() const;
     /// Handles a new incarnation of the worker: nothing is ordered until its lists of runs were
     /// read.
     void beginWorkerIncarnation();
@@ -238,6 +239,7 @@
     absl::Time m_heartbeatAt = absl::InfinitePast();
     absl::Time m_heartbeatSentAt = absl::InfinitePast();
     std::uint64_t m_heartbeats = 0;
+    std::uint32_t m_unansweredHeartbeats = 0; ///< since the last one that was stored
 
     bool m_applyingLoad = false;
     std::map<item_run, local_run> m_runs;
--- a/include/hyssoppond/batch/log_writer_base.h
+++ b/include/hyssoppond/batch/log_writer_base.h
@@ -85,7 +85,7 @@
     bool m_inFlight = false;
     bool m_unsettled = false; ///< some try of the current batch got no answer
     bool m_fenced = false;
-    std::uint32_t m_failures = 0;
+    absl::Duration m_retryDelay; ///< before the last repetition of the batch
     absl::Time m_retryAt = absl::InfinitePast();
     absl::Time m_batchStartedAt = absl::InfiniteFuture();
 };
--- a/include/hyssoppond/batch/store_port.h
+++ b/include/hyssoppond/batch/store_port.h
@@ -50,6 +50,8 @@
     std::vector<stored_record> records; ///< appended all or none; offsets are ignored
     std::optional<producer_stamp> producer;
     absl::Time deadline; ///< on the caller's steady clock
+    /// Sent directly if no peer can send it, even while the store refuses calls.
+    bool urgent = false;
 };
 
 struct append_answer
--- a/include/hyssoppond/batch/store_relay_base.h
+++ b/include/hyssoppond/batch/store_relay_base.h
@@ -4,6 +4,7 @@
 #include "hyssoppond/base/name_table_type.h"
 #include "hyssoppond/batch/peer_message_type.h"
 #include "hyssoppond/batch/store_port.h"
+#include "hyssoppond/routing/retry_budget_type.h"
 
 #include <map>
 #include <string>
@@ -41,6 +42,11 @@
 /// others. Appends with a producer stamp and reads are then also sent by a peer. Both are safe to
 /// send twice: the store drops a repeated append, and a read that a peer begins later proves at
 /// least as recent a state. Loads of a whole topic and group membership are never relayed.
+///
+/// A store that is overloaded refuses appends too, and then repetitions keep it so. Appends by
+/// peers take from a retry budget, which gets them back when a peer answers the call. When peers
+/// have failed too, none is asked for a pause, which grows. A refused append counts for its topic
+/// only, as each has a queue of its own. Reads do not queue.
 class store_relay
 {
 public:
@@ -86,6 +92,8 @@
         bool relayPending = false;
         bool mayHaveRun = false; ///< a try got no answer
         unsigned peerTries = 0;  ///< number of peers that were asked
+        bool directTried = false;
+        std::string peer; ///< that was asked last
         absl::Time sentAt;
         absl::Time relayedAt;          ///< last try by a peer
         absl::Time relayAt;            ///< next try by a peer
@@ -101,7 +109,20 @@
     absl::Duration hedgeDelay() const;
     /// Notes how long the store took to answer a direct call, without the wait of a read.
     void noteAnswerTime(absl::Duration time);
+    bool isAvoided(const operation &op) const;
+    /// Time of the next direct call of the kind of `op` while those are avoided.
+    absl::Time &probeAtOf(const operation &op);
+    void noteRefused(const std::string &topic);
+    /// The store was slow to answer this process lately.
+    bool isSlow() const;
+    /// An append to `topic` is sent for a peer now.
+    bool mayServe(const std::string &topic);
+    bool mayAskPeer(const operation &op);
+    /// Notes that peers were asked for a call and none has answered it.
+    void pauseRelay();
     void onDirectOutcome(std::uint64_t id, store_outcome outcome);
+    void onDirectAnswer();
+    void onPeerAnswer(const operation &op, store_outcome outcome);
     void onRelayOutcome(std::uint64_t id, store_outcome outcome);
     /// Ends the call as Unknown or Refused if neither the store nor a peer may still answer it.
     void settle(std::uint64_t id);
@@ -125,7 +146,15 @@
     std::uint64_t m_nextId;
     bool m_directUnreachable = false;
     absl::Duration m_answerTime; ///< of the store lately, see noteAnswerTime()
+    absl::Time m_slowUntil = absl::InfinitePast();
+    absl::Time m_answeredAt = absl::InfinitePast(); ///< last direct answer
     absl::Time m_probeAt = absl::InfinitePast();
+    /// Topics whose last direct append was refused, and when one is sent directly again.
+    std::map<std::string, absl::Time> m_refusedTopics;
+    retry_budget m_peerTries;
+    absl::Duration m_relayPause; ///< the last one; zero once a peer has answered
+    absl::Time m_relayPausedUntil = absl::InfinitePast();
+    std::string m_servingPeer; ///< peer that answered last; empty: unknown
     std::size_t m_serving = 0; ///< calls of peers that the store has not answered
     std::uint64_t m_relayed = 0;
 };
--- a/include/hyssoppond/fakes/fake_store_base.h
+++ b/include/hyssoppond/fakes/fake_store_base.h
@@ -4,6 +4,7 @@
 #include "hyssoppond/batch/store_port.h"
 #include "hyssoppond/fakes/virtual_clock_base.h"
 
+#include <functional>
 #include <limits>
 #include <map>
 #include <memory>
@@ -39,7 +40,14 @@
     batch::store_port portOf(const std::string &client, std::shared_ptr<bool> alive);
 
     std::map<std::string, store_faults> faults; ///< by client
-    std::size_t calls = 0;                      ///< of all clients, without leave
+    /// Time that a partition takes for one append. Appends to a topic wait for each other, and are
+    /// refused while more than MaxQueuedTime is waiting, but for those that take effect late. Zero:
+    /// they take effect at once.
+    absl::Duration appendTime = absl::ZeroDuration();
+    double slowness = 1.0;          ///< factor of the time that each answer and each append takes
+    std::size_t appends = 0;        ///< that arrived
+    std::size_t refusedAppends = 0; ///< because too much was waiting
+    std::size_t calls = 0;          ///< of all clients, without leave
     /// Older records of a topic expire; the newest of a key stays.
     std::size_t keptRecords = 100'000;
     /// Most records of one page of the newest records, and of one read. A page is computed when the
@@ -70,6 +78,7 @@
         std::vector<batch::stored_record> records;
         std::map<std::string, std::size_t> newest; ///< index in records, by key
         std::map<std::string, producer_state> producers;
+        absl::Time appendsDoneAt = absl::InfinitePast(); ///< of the last append that waits
     };
     struct group_membership
     {
@@ -82,6 +91,14 @@
         std::uint64_t generation = 0;
     };
 
+    static constexpr absl::Duration MaxQueuedTime = absl::Seconds(2);
+
+    /// Time until the appends that wait at the topic are carried out.
+    absl::Duration waitingTime(const std::string &topic);
+    /// Carries the append out after those that wait, and returns when.
+    absl::Time enqueue(const batch::append_request &request,
+                       const std::function<void(batch::append_answer)> &applied);
+    static bool isRepeatedOrFenced(const topic_state &state, const batch::append_request &request);
     batch::append_answer apply(const batch::append_request &request);
     /// One page of the newest records.
     batch::newest_answer newestNow(const batch::newest_request &request) const;
--- a/include/hyssoppond/routing/retry_budget_type.h
+++ b/include/hyssoppond/routing/retry_budget_type.h
@@ -41,15 +41,22 @@
         m_debt -= repaid;
         add(m_settings.perRequest - repaid);
     }
+    /// A retry can be taken.
+    bool canTake(absl::Time now)
+    {
+        advance(now);
+        return m_saved >= 1;
+    }
     /// Takes one retry; false if there is none.
     bool take(absl::Time now)
     {
-        advance(now);
-        if (m_saved < 1)
+        if (!canTake(now))
             return false;
         m_saved -= 1;
         return true;
     }
+    /// Returns `retries` that were taken and were no additional load, as they were answered.
+    void giveBack(double retries) { add(retries); }
 
 private:
     void advance(absl::Time now)
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -16,6 +16,12 @@
 /// Shortest interval between two heartbeats, where orders need a recent one.
 constexpr absl::Duration MinHeartbeatInterval = absl::Milliseconds(500);
 
+/// Number of heartbeats without an answer after which they become rarer, and the longest interval
+/// between them. By then the agent counts as silent, and a store that is overloaded by the
+/// heartbeats of all agents would not recover from it.
+constexpr std::uint32_t MaxUnansweredHeartbeats = 2;
+constexpr absl::Duration MaxHeartbeatInterval = absl::Milliseconds(4000);
+
 /// Longest wait of one read of the journal. A completed read proves that no record was missed up to
 /// then; leases depend on how recent that proof is, see JournalReadValidity.
 constexpr absl::Duration JournalWait = absl::Milliseconds(1200);
@@ -67,6 +73,8 @@
     m_follower.onRecords = [this](const auto &records) { onRecords(records); };
     m_follower.onReachable = [this](bool reachable) {
         logDecision(reachable ? "store regained" : "store lost", "", "");
+        if (reachable)
+            m_heartbeatAt = std::min(m_heartbeatAt, m_heartbeatSentAt + HeartbeatInterval);
     };
     // An earlier process of this agent may have granted a lease until now, and may have sent orders
     // that are still to be carried out.
@@ -216,14 +224,26 @@
 
 void batch_agent::hastenHeartbeat()
 {
+    // While the store does not answer in time, more heartbeats would only be more load on it.
+    if (m_heartbeatStoredAt < m_heartbeatSentAt)
+        return;
     m_heartbeatAt = std::min(m_heartbeatAt,
                              std::max(m_hooks.now(), m_heartbeatSentAt + MinHeartbeatInterval));
 }
 
+absl::Duration batch_agent::nextHeartbeatInterval() const
+{
+    if (m_unansweredHeartbeats < MaxUnansweredHeartbeats)
+        return HeartbeatInterval;
+    const std::uint32_t doublings = std::min(m_unansweredHeartbeats - MaxUnansweredHeartbeats, 2U);
+    const double jitter = 0.75 + 0.25 * static_cast<double>(m_hooks.random() % 1000) / 1000.0;
+    return std::min(MaxHeartbeatInterval, HeartbeatInterval * (1 << doublings)) * jitter;
+}
+
 void batch_agent::sendHeartbeat()
 {
     m_heartbeatSentAt = m_hooks.now();
-    m_heartbeatAt = m_hooks.now() + HeartbeatInterval;
+    m_heartbeatAt = m_hooks.now() + nextHeartbeatInterval();
     if (!m_description)
         return;
     agent_heartbeat content;
@@ -242,12 +262,15 @@
     request.producer = producer_stamp {
         absl::StrCat(m_options.agent.str(), "/", m_writer.epoch(), "/beat"), ++m_heartbeats, 1};
     request.deadline = m_hooks.now() + StoreTimeout;
+    request.urgent = true;
+    ++m_unansweredHeartbeats;
     // A lost heartbeat is not repeated; the next one replaces it.
     m_store->append(std::move(request),
                     [this, sentAt = m_hooks.now()](const append_answer &answer) {
                         if (answer.outcome != store_outcome::Ok)
                             return;
                         m_heartbeatStoredAt = std::max(m_heartbeatStoredAt, sentAt);
+                        m_unansweredHeartbeats = 0;
                         // Only a heartbeat that names an earlier one tells when it was sent.
                         if (m_storedHeartbeat == NoHeartbeatStored)
                             m_heartbeatAt = m_hooks.now();
--- a/src/batch/log_writer.cpp
+++ b/src/batch/log_writer.cpp
@@ -7,9 +7,10 @@
 
 namespace {
 
-/// First and longest pause before a batch is repeated.
+/// First and longest pause before a batch is repeated. Each is twice as long as the one before, by
+/// a random part shorter or longer.
 constexpr absl::Duration FirstRetryDelay = absl::Milliseconds(60);
-constexpr absl::Duration MaxRetryDelay = absl::Milliseconds(400);
+constexpr absl::Duration MaxRetryDelay = absl::Milliseconds(800);
 
 /// Records of one append. The platform accepts 2 MB a call, and a record has at most a few KB.
 constexpr std::size_t MaxRecordsPerBatch = 200;
@@ -115,7 +116,7 @@
     }
     if (m_batch.empty())
         return;
-    m_failures = 0;
+    m_retryDelay = absl::ZeroDuration();
     m_unsettled = false;
     m_batchStartedAt = m_hooks.now();
     send();
@@ -154,8 +155,9 @@
     case store_outcome::Rejected:
         break;
     }
-    ++m_failures;
-    m_retryAt = m_hooks.now() + std::min(MaxRetryDelay, FirstRetryDelay * m_failures);
+    const double jitter = 0.75 + 0.5 * static_cast<double>(m_hooks.random() % 1000) / 1000.0;
+    m_retryDelay = std::clamp(m_retryDelay * 2, FirstRetryDelay, MaxRetryDelay);
+    m_retryAt = m_hooks.now() + m_retryDelay * jitter;
     expire();
 }
 
--- a/src/batch/store_relay.cpp
+++ b/src/batch/store_relay.cpp
@@ -25,15 +25,37 @@
 /// directions and the store's answer.
 constexpr absl::Duration PeerAnswerTimeout = absl::Milliseconds(250);
 
+/// A store that took longer than this to answer is slow for all, and counts as slow for the
+/// following time. Peers could not answer in time either.
+constexpr absl::Duration SlowAnswerTime = absl::Milliseconds(200);
+constexpr absl::Duration SlowAnswerMemory = absl::Seconds(2);
+
 /// Longest wait of a relayed read. Its answer may be lost, which costs this time.
 constexpr absl::Duration MaxRelayedWait = absl::Milliseconds(700);
 
 /// Number of peers that are asked for one call.
 constexpr unsigned MaxPeerTries = 4;
 
-/// Interval between two direct calls while the store does not answer directly.
+/// Mean interval between two direct calls while the store does not answer directly.
 constexpr absl::Duration ProbeInterval = absl::Milliseconds(1000);
 
+/// Topics whose refusals are remembered; messages of peers may name any.
+constexpr std::size_t MaxRefusedTopics = 16;
+
+/// First and longest pause without calls through peers after peers have failed too.
+constexpr absl::Duration FirstRelayPause = absl::Milliseconds(200);
+constexpr absl::Duration MaxRelayPause = absl::Seconds(2);
+
+/// Budget of the appends by peers that get no answer: one for ten calls that the store answered.
+retry_settings peerTrySettings()
+{
+    retry_settings settings;
+    settings.perRequest = 0.1;
+    settings.initialRetries = MaxPeerTries;
+    settings.maxSavedRetries = settings.initialRetries;
+    return settings;
+}
+
 /// Calls of peers that are served at the same time; bounds memory.
 constexpr std::size_t MaxServedCalls = 64;
 
@@ -80,6 +102,12 @@
     answer->records.resize(kept);
 }
 
+/// Spreads the repetitions of processes that met the same failure.
+absl::Duration jittered(absl::Duration pause, std::uint64_t random)
+{
+    return pause * (0.75 + 0.5 * static_cast<double>(random % 1'000) / 1'000.0);
+}
+
 std::uint32_t toMs(absl::Duration duration)
 {
     return static_cast<std::uint32_t>(
@@ -93,6 +121,7 @@
     , m_direct(direct)
     , m_hooks(std::move(hooks))
     , m_nextId(m_hooks.random())
+    , m_peerTries(peerTrySettings())
 { }
 
 store_port store_relay::port()
@@ -122,7 +151,7 @@
         op.onRead = std::move(done);
         start(std::move(op));
     };
-    port.newest = [this](newest_request request, std::function<void(newest_answer)> done) {
+    port.newest = [this](const newest_request &request, std::function<void(newest_answer)> done) {
         m_direct->newest(request,
                          [this, topic = request.topic, sentAt = m_hooks.now(),
                           done = std::move(done)](newest_answer answer) {
@@ -131,7 +160,7 @@
                              done(std::move(answer));
                          });
     };
-    port.join = [this](join_request request, std::function<void(join_answer)> done) {
+    port.join = [this](const join_request &request, std::function<void(join_answer)> done) {
         m_direct->join(request,
                        [this, topic = request.topic, sentAt = m_hooks.now(),
                         done = std::move(done)](const join_answer &answer) {
@@ -149,25 +178,74 @@
     const absl::Time now = m_hooks.now();
     const std::uint64_t id = m_nextId++;
     const bool noPeers = !peers || peers().empty();
-    const bool direct = !m_directUnreachable || now >= m_probeAt || noPeers;
-    if (m_directUnreachable && direct)
-        m_probeAt = now + ProbeInterval;
+    const bool avoided = isAvoided(op);
+    const bool direct = !avoided || now >= probeAtOf(op) || noPeers;
+    if (avoided && direct)
+        probeAtOf(op) = now + jittered(ProbeInterval, m_hooks.random());
     op.sentAt = now;
-    op.relayAt = m_directUnreachable ? now : now + op.read.wait + hedgeDelay();
+    op.relayAt = avoided ? now : now + op.read.wait + hedgeDelay();
     if (op.onRead)
         op.expectedEnd = m_expectedEnds[op.read.topic];
     if (op.read.from < op.expectedEnd)
         op.relayAt = std::min(op.relayAt, now + ExpectedRecordDelay);
     op.directPending = direct;
+    op.directTried = direct;
     op.firstPeer = static_cast<std::size_t>(m_hooks.random());
     const operation &started = m_operations.emplace(id, std::move(op)).first->second;
-    const bool relayNow = started.relayAt <= now;
+    // A call that cannot be sent at all ends in the next tick, not within the caller's call.
+    const bool relayNow = started.relayAt <= now && (direct || mayAskPeer(started));
     if (direct)
         sendDirect(id, started);
     if (relayNow)
         tryPeer(id);
 }
 
+bool store_relay::isAvoided(const operation &op) const
+{
+    return m_directUnreachable || (op.onAppended && m_refusedTopics.contains(op.append.topic));
+}
+
+absl::Time &store_relay::probeAtOf(const operation &op)
+{
+    return m_directUnreachable ? m_probeAt : m_refusedTopics.at(op.append.topic);
+}
+
+void store_relay::noteRefused(const std::string &topic)
+{
+    if (m_refusedTopics.size() < MaxRefusedTopics)
+        m_refusedTopics.try_emplace(topic,
+                                    m_hooks.now() + jittered(ProbeInterval, m_hooks.random()));
+}
+
+bool store_relay::isSlow() const
+{
+    return m_hooks.now() < m_slowUntil;
+}
+
+bool store_relay::mayServe(const std::string &topic)
+{
+    const auto refused = m_refusedTopics.find(topic);
+    if (refused == m_refusedTopics.end())
+        return true;
+    if (m_hooks.now() < refused->second)
+        return false;
+    refused->second = m_hooks.now() + jittered(ProbeInterval, m_hooks.random());
+    return true;
+}
+
+bool store_relay::mayAskPeer(const operation &op)
+{
+    const absl::Time now = m_hooks.now();
+    return op.onRead || (now >= m_relayPausedUntil && m_peerTries.canTake(now));
+}
+
+void store_relay::pauseRelay()
+{
+    m_relayPause = std::clamp(m_relayPause * 2, FirstRelayPause, MaxRelayPause);
+    m_relayPausedUntil = m_hooks.now() + jittered(m_relayPause, m_hooks.random());
+    m_servingPeer.clear();
+}
+
 void store_relay::sendDirect(std::uint64_t id, const operation &op)
 {
     if (op.onAppended) {
@@ -177,7 +255,12 @@
                 noteTry(store_call::Append, topic, store_way::Direct, answer.outcome, sentAt);
                 if (isSettled(answer.outcome)) {
                     noteAnswerTime(m_hooks.now() - sentAt);
-                    setDirectUnreachable(false);
+                    m_refusedTopics.erase(topic);
+                    onDirectAnswer();
+                } else if (answer.outcome == store_outcome::Refused) {
+                    noteRefused(topic);
+                } else if (m_answeredAt < sentAt) {
+                    setDirectUnreachable(true);
                 }
                 if (isSettled(answer.outcome) && m_operations.contains(id))
                     finish(id, answer, {});
@@ -194,7 +277,10 @@
                            // With records, the store may have answered at any time of the wait.
                            if (answer.records.empty() || wait == absl::ZeroDuration())
                                noteAnswerTime(m_hooks.now() - sentAt - wait);
-                           setDirectUnreachable(false);
+                           onDirectAnswer();
+                       } else if (answer.outcome == store_outcome::Refused
+                                  || m_answeredAt < sentAt) {
+                           setDirectUnreachable(true);
                        }
                        if (answer.outcome == store_outcome::Ok && answer.end < expectedEnd)
                            forgetExpectation(topic, expectedEnd, answer.end);
@@ -214,16 +300,22 @@
 {
     m_answerTime
         = time > m_answerTime ? time : m_answerTime + (time - m_answerTime) * AnswerTimeDecay;
+    if (time >= SlowAnswerTime)
+        m_slowUntil = m_hooks.now() + SlowAnswerMemory;
+}
+
+void store_relay::onDirectAnswer()
+{
+    m_answeredAt = m_hooks.now();
+    m_peerTries.earn();
+    setDirectUnreachable(false);
 }
 
 void store_relay::onDirectOutcome(std::uint64_t id, store_outcome outcome)
 {
-    if (isSettled(outcome))
-        return; // a peer's answer came first
-    setDirectUnreachable(true);
     const auto found = m_operations.find(id);
-    if (found == m_operations.end())
-        return;
+    if (found == m_operations.end() || isSettled(outcome))
+        return; // a peer's answer came first
     found->second.directPending = false;
     found->second.mayHaveRun = found->second.mayHaveRun || outcome == store_outcome::Unknown;
     if (!found->second.relayPending)
@@ -241,13 +333,21 @@
     op.relayPending = false;
     op.relayAt = absl::InfiniteFuture();
     const std::vector<std::string> addresses = peers ? peers() : std::vector<std::string>();
-    if (addresses.empty() || op.peerTries >= std::min<std::size_t>(MaxPeerTries, addresses.size())
-        || now >= op.deadline) {
+    const bool exhausted = op.peerTries >= std::min<std::size_t>(MaxPeerTries, addresses.size());
+    if (addresses.empty() || exhausted || now >= op.deadline || !mayAskPeer(op)) {
+        if (op.onAppended && op.peerTries != 0 && now >= m_relayPausedUntil)
+            pauseRelay();
         settle(id);
         return;
     }
+    const auto serving = std::find(addresses.begin(), addresses.end(), m_servingPeer);
+    if (op.peerTries == 0 && serving != addresses.end())
+        op.firstPeer = static_cast<std::size_t>(serving - addresses.begin());
     const std::string &peer = addresses[(op.firstPeer + op.peerTries) % addresses.size()];
+    if (op.onAppended)
+        m_peerTries.take(now);
     ++op.peerTries;
+    op.peer = peer;
     op.relayPending = true;
     op.relayedAt = now;
     const absl::Duration wait = std::min(op.read.wait, MaxRelayedWait);
@@ -271,11 +371,32 @@
     tryPeer(id);
 }
 
+void store_relay::onPeerAnswer(const operation &op, store_outcome outcome)
+{
+    ++m_relayed;
+    noteRelayed(op, outcome);
+    m_servingPeer = op.peer;
+    if (op.onAppended) {
+        m_peerTries.giveBack(op.peerTries);
+        m_relayPause = absl::ZeroDuration();
+        m_relayPausedUntil = absl::InfinitePast();
+    }
+    if (op.directPending && m_answeredAt < op.sentAt)
+        setDirectUnreachable(true);
+}
+
 void store_relay::settle(std::uint64_t id)
 {
-    const operation &op = m_operations.at(id);
+    operation &op = m_operations.at(id);
     if (op.directPending || op.relayPending)
         return;
+    if (op.append.urgent && !op.directTried && m_hooks.now() < op.deadline) {
+        op.directPending = true;
+        op.directTried = true;
+        op.sentAt = m_hooks.now();
+        sendDirect(id, op);
+        return;
+    }
     const store_outcome outcome = op.mayHaveRun ? store_outcome::Unknown : store_outcome::Refused;
     append_answer appended;
     appended.outcome = outcome;
@@ -339,6 +460,9 @@
             op.directPending = false;
             op.relayPending = false;
             settle(id);
+        } else if (op.directPending && !op.relayPending && op.onAppended && isSlow()
+                   && m_answeredAt >= op.sentAt) {
+            op.relayAt = absl::InfiniteFuture(); // it waits in the queue of the store
         } else {
             tryPeer(id);
         }
@@ -367,9 +491,7 @@
             onRelayOutcome(appended->id, appended->answer.outcome);
             return;
         }
-        ++m_relayed;
-        noteRelayed(found->second, appended->answer.outcome);
-        setDirectUnreachable(true);
+        onPeerAnswer(found->second, appended->answer.outcome);
         finish(appended->id, appended->answer, {});
     } else if (const auto *records = std::get_if<relayed_read_reply>(&message)) {
         const auto found = m_operations.find(records->id);
@@ -379,9 +501,7 @@
             onRelayOutcome(records->id, records->answer.outcome);
             return;
         }
-        ++m_relayed;
-        noteRelayed(found->second, records->answer.outcome);
-        setDirectUnreachable(true);
+        onPeerAnswer(found->second, records->answer.outcome);
         finish(records->id, {}, records->answer);
     }
 }
@@ -408,7 +528,7 @@
 void store_relay::serve(const relayed_append &call)
 {
     relayed_append_reply answer {call.id, {}};
-    if (m_directUnreachable || m_serving >= MaxServedCalls) {
+    if (m_directUnreachable || m_serving >= MaxServedCalls || isSlow() || !mayServe(call.topic)) {
         answer.answer.outcome = store_outcome::Refused;
         reply(call.replyTo, answer);
         return;
@@ -426,6 +546,10 @@
                          noteTry(store_call::Append, topic, store_way::ForPeer, storeAnswer.outcome,
                                  sentAt);
                          --m_serving;
+                         if (isSettled(storeAnswer.outcome))
+                             m_refusedTopics.erase(topic);
+                         else if (storeAnswer.outcome == store_outcome::Refused)
+                             noteRefused(topic);
                          answer.answer = storeAnswer;
                          reply(to, answer);
                      });
--- a/src/fakes/fake_store.cpp
+++ b/src/fakes/fake_store.cpp
@@ -35,6 +35,36 @@
     return found == m_topics.end() ? 0 : found->second.records.size();
 }
 
+absl::Duration fake_store::waitingTime(const std::string &topic)
+{
+    return std::max(absl::ZeroDuration(), m_topics[topic].appendsDoneAt - m_clock->now());
+}
+
+absl::Time fake_store::enqueue(const batch::append_request &request,
+                               const std::function<void(batch::append_answer)> &applied)
+{
+    topic_state &state = m_topics[request.topic];
+    absl::Time doneAt = m_clock->now();
+    // The store answers a repetition, and an earlier epoch, without carrying anything out.
+    if (!isRepeatedOrFenced(state, request)) {
+        doneAt = std::max(doneAt, state.appendsDoneAt) + appendTime * slowness;
+        state.appendsDoneAt = doneAt;
+    }
+    m_clock->at(doneAt, [this, request, applied] { applied(apply(request)); });
+    return doneAt;
+}
+
+bool fake_store::isRepeatedOrFenced(const topic_state &state, const batch::append_request &request)
+{
+    if (!request.producer)
+        return false;
+    const auto producer = state.producers.find(request.producer->name);
+    return producer != state.producers.end()
+        && (request.producer->epoch < producer->second.epoch
+            || (request.producer->epoch == producer->second.epoch
+                && request.producer->sequence <= producer->second.sequence));
+}
+
 batch::append_answer fake_store::apply(const batch::append_request &request)
 {
     topic_state &state = m_topics[request.topic];
@@ -180,7 +210,7 @@
     // An answer that is not complete at the deadline of its call never arrives.
     const auto answerLater
         = [this, client, clientAlive](auto done, auto answer, absl::Time deadline) {
-              const absl::Time completeAt = m_clock->now() + faults[client].answerDelay;
+              const absl::Time completeAt = m_clock->now() + faults[client].answerDelay * slowness;
               if (completeAt > deadline) {
                   answer = {};
                   answer.outcome = store_outcome::Unknown;
@@ -194,6 +224,7 @@
     port.append = [this, client, clientAlive, blockedByFault,
                    answerLater](const batch::append_request &request,
                                 const std::function<void(batch::append_answer)> &done) {
+        ++appends;
         if (blockedByFault(done, batch::append_answer {}, request.deadline))
             return;
         const store_faults &fault = faults[client];
@@ -208,6 +239,37 @@
             answerUnknownAtDeadline();
             return;
         }
+        if (appendTime > absl::ZeroDuration()) {
+            if (m_clock->uniform() < fault.executeLate) {
+                m_clock->after(absl::Seconds(1 + 5 * m_clock->uniform()),
+                               [this, request] { enqueue(request, [](const auto &) {}); });
+                answerUnknownAtDeadline();
+                return;
+            }
+            if (waitingTime(request.topic) > MaxQueuedTime) {
+                ++refusedAppends;
+                answerLater(done, batch::append_answer {store_outcome::Refused, 0},
+                            request.deadline);
+                return;
+            }
+            const absl::Duration answerDelay = fault.answerDelay * slowness;
+            const auto answered = std::make_shared<bool>(m_clock->uniform() >= fault.loseAnswers);
+            const absl::Time doneAt
+                = enqueue(request,
+                          [this, clientAlive, done, answered,
+                           answerDelay](const batch::append_answer &answer) {
+                              if (*answered)
+                                  m_clock->after(answerDelay, [clientAlive, done, answer] {
+                                      if (*clientAlive)
+                                          done(answer);
+                                  });
+                          });
+            if (doneAt + answerDelay > request.deadline)
+                *answered = false;
+            if (!*answered)
+                answerUnknownAtDeadline();
+            return;
+        }
         if (m_clock->uniform() < fault.executeLate) {
             m_clock->after(absl::Seconds(1 + 5 * m_clock->uniform()),
                            [this, request] { apply(request); });
--- a/tests/batch_store_test.cpp
+++ b/tests/batch_store_test.cpp
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 
 #include <limits>
+#include <map>
+#include <memory>
 
 namespace hyssoppond::batch {
 namespace {
@@ -178,5 +180,88 @@
     EXPECT_LE(m_store.calls, Calls + Calls / 5) << "a fifth more than the calls themselves";
 }
 
+// Guards against a store that is kept busy by repetitions: it refuses all processes, and each call
+// was repeated by four peers.
+TEST_F(batch_store_test, callsRefusedForAllAreSeldomRepeatedByPeers)
+{
+    store_port direct = m_store.portOf("own", std::make_shared<bool>(true));
+    m_store.faults["own"].refuse = true;
+    store_relay own("own", &direct, m_hooks);
+    std::map<std::string, std::unique_ptr<store_port>> ports;
+    std::map<std::string, std::unique_ptr<store_relay>> relays;
+    for (const char *name : {"a", "b", "c", "d"}) {
+        m_store.faults[name].refuse = true;
+        ports[name]
+            = std::make_unique<store_port>(m_store.portOf(name, std::make_shared<bool>(true)));
+        relays[name] = std::make_unique<store_relay>(name, ports[name].get(), m_hooks);
+        relays[name]->send = [&](const std::string &, const std::string &message) {
+            own.receive(*decodePeerMessage(message));
+        };
+    }
+    own.peers = [] { return std::vector<std::string> {"a", "b", "c", "d"}; };
+    own.send = [&](const std::string &address, const std::string &message) {
+        relays.at(address)->receive(*decodePeerMessage(message));
+    };
+    std::size_t peerTries = 0;
+    own.onTry
+        = [&](const store_try &tried) { peerTries += tried.way == store_way::ThroughPeer ? 1 : 0; };
+    constexpr std::size_t Calls = 300;
+    std::size_t refused = 0;
+    store_port port = own.port();
+    for (std::size_t i = 0; i < Calls; ++i) {
+        port.append(stampedAppend(), [&](const append_answer &answer) {
+            refused += answer.outcome == store_outcome::Refused ? 1 : 0;
+        });
+        for (int tick = 0; tick < 10; ++tick) {
+            own.tick();
+            m_clock.runFor(absl::Milliseconds(10));
+        }
+    }
+    EXPECT_EQ(refused, Calls);
+    EXPECT_LE(peerTries, Calls / 10) << "a tenth of the calls themselves";
+}
+
+// Guards against a heartbeat that is not sent at all, because neither peers nor this process got an
+// answer of the store lately, and other calls took the direct tries that were left.
+TEST_F(batch_store_test, urgentAppendIsSentWhenNoPeerCanSendIt)
+{
+    store_port direct = m_store.portOf("own", std::make_shared<bool>(true));
+    store_port peerDirect = m_store.portOf("peer", std::make_shared<bool>(true));
+    store_relay own("own", &direct, m_hooks);
+    store_relay peer("peer", &peerDirect, m_hooks);
+    own.peers = [] { return std::vector<std::string> {"peer"}; };
+    own.send = [&](const std::string &, const std::string &message) {
+        peer.receive(*decodePeerMessage(message));
+    };
+    peer.send = [&](const std::string &, const std::string &message) {
+        own.receive(*decodePeerMessage(message));
+    };
+    m_store.faults["own"].refuse = true;
+    m_store.faults["peer"].refuse = true;
+    std::size_t directTries = 0;
+    own.onTry
+        = [&](const store_try &tried) { directTries += tried.way == store_way::Direct ? 1 : 0; };
+    store_port port = own.port();
+    constexpr std::size_t DirectTries = 5; // the last one was just made
+    while (directTries < DirectTries) {
+        port.append(stampedAppend(), [](const append_answer &) {});
+        for (int tick = 0; tick < 10; ++tick) {
+            own.tick();
+            m_clock.runFor(absl::Milliseconds(10));
+        }
+    }
+    m_store.faults["own"].refuse = false;
+    append_request heartbeat = stampedAppend();
+    heartbeat.urgent = true;
+    std::vector<append_answer> answers;
+    port.append(heartbeat, [&](const append_answer &answer) { answers.push_back(answer); });
+    for (int tick = 0; tick < 10; ++tick) {
+        own.tick();
+        m_clock.runFor(absl::Milliseconds(10));
+    }
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().outcome, store_outcome::Ok);
+}
+
 } // namespace
 } // namespace hyssoppond::batch
