A start is sent only to an incarnation of the worker that has just answered

What callers saw: two runs of one item are possible when a worker restarts under its name, its agent sends a start before it knows, the agent is lost for good, and the worker carries the start out 12 s late.

Cause: a start's lease is a time on the worker's clock. An agent that did not know of the restart took the clock of the incarnation before, which is far ahead, so the worker granted its longest lease (6 s) from the moment of execution. The wait for a lost agent covers about 3 s for a start.

Change: a start is sent only within 400 ms after the sending of a poll that the present incarnation has answered under its own start. Otherwise polls without a lease and a wait go first, every 100 ms until one is answered, also while the start waits for a lease; they need no reply in order, as they change nothing. A restart takes longer than 400 ms, and an order that an incarnation has taken ends with it. If the incarnation stays unknown for 3 s the run is reported as not started; a refused question counts as a refused start. While only starts wait there is no poll with a lease, as one without an answer would hold up the start. A token counts as accepted only by the expected incarnation.

Tests changed: those that made every order late from before a start would now only see that nothing is sent. They let the worker answer until the start and delay orders from it on, so that the start is still carried out late. orderForTheIncarnationBeforeIsStopped counted two starts, the first by an order that is no longer sent; it now lets the order travel while the worker restarts and still expects two starts and the stop. The former scenario is orderForTheIncarnationBeforeIsNotSent, with one start.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -147,8 +147,14 @@
     void endWorker();
 
     // Runs
+    /// Runs whose start can be sent now, as far as they themselves are concerned.
+    std::vector<item_run> dueStarts() const;
     void startDue();
     void start(const item_run &id);
+    /// Asks the worker for its incarnation, for starts that are due.
+    void confirmIncarnation();
+    void onConfirmed(const poll_answer &answer, std::uint64_t sentToken,
+                     std::uint64_t workerIncarnation, absl::Time sentAt);
     void onStarted(const item_run &id, std::uint64_t sentToken, std::uint64_t workerIncarnation,
                    const order_answer &answer);
     void stopDue();
@@ -172,6 +178,9 @@
     void onProbe(const worker_heartbeat &heartbeat, const poll_answer &answer);
     void onPoll(const poll_answer &answer, std::uint64_t sentToken, std::uint64_t workerIncarnation,
                 absl::Time sentAt);
+    /// Takes the worker's incarnation from an answer to a poll that it has carried out. False if it
+    /// is another one than the agent took it for; then nothing else of the answer counts.
+    bool checkIncarnation(const poll_answer &answer, std::uint64_t sentToken, absl::Time sentAt);
     /// Takes the clock from an answer to an order for `workerIncarnation`. That of another
     /// incarnation tells nothing about the present one.
     void updateWorkerClock(const std::optional<std::int64_t> &clockMs, order_outcome outcome,
@@ -266,6 +275,11 @@
     std::uint64_t m_handledEnd = 0;      ///< ends up to this number need no further record
     std::uint64_t m_acknowledgedEnd = 0; ///< ends up to this number may be forgotten there
     absl::Time m_incarnationConfirmedAt = absl::InfinitePast(); ///< last answer to a poll
+    /// When the newest poll was sent that the present incarnation has answered under its own start.
+    absl::Time m_incarnationKnownAsOf = absl::InfinitePast();
+    bool m_confirmDue = false; ///< a start waits for the incarnation to be known
+    absl::Time m_confirmAt = absl::InfinitePast();       ///< earliest next question for it
+    absl::Time m_confirmBefore = absl::InfiniteFuture(); ///< latest end of that wait
     /// When the worker counts as silent unless it answers until then.
     absl::Time m_silentAt = absl::InfiniteFuture();
     std::uint64_t m_workerIncarnation = 0; ///< counts the worker incarnations seen
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -186,12 +186,15 @@
         return;
     if (m_announceDue && !m_announcing)
         announce();
+    m_confirmDue = false;
     if (m_follower.isLoaded() && m_announced) {
         startDue();
         stopDue();
         if (m_hooks.now() >= m_heartbeatAt)
             sendHeartbeat();
     }
+    if (!m_confirmDue)
+        m_confirmBefore = absl::InfiniteFuture();
     if (wantsPoll() && !m_polling && m_hooks.now() >= m_pollAt)
         poll();
     checkWorker();
@@ -208,6 +211,8 @@
         next = std::min(next, m_heartbeatAt);
     if (wantsPoll() && !m_polling)
         next = std::min(next, m_pollAt);
+    if (m_confirmDue)
+        next = std::min(next, m_confirmAt);
     if (!m_noticeAnswers.empty())
         next = std::min(next, m_noticeAnswerAt);
     if (m_leaving)
--- a/src/batch/batch_agent_poll.cpp
+++ b/src/batch/batch_agent_poll.cpp
@@ -28,8 +28,13 @@
     // Runs without an order can be recognized only when all orders before this session are known.
     if (!m_sessionConfirmed || !m_follower.isLoaded() || !m_description)
         return false;
-    return !m_synced || m_candidate || !m_runs.empty() || m_reportsInFlight != 0
-        || m_handledEnd > m_acknowledgedEnd;
+    // While a start waits for the incarnation and nothing runs, there is no lease to extend. One
+    // that is on its way without an answer would hold up the start.
+    const auto isOpen = [this](const auto &entry) {
+        return !m_confirmDue || entry.second.uncertain || entry.second.state != phase::Ordered;
+    };
+    return !m_synced || m_candidate || m_reportsInFlight != 0 || m_handledEnd > m_acknowledgedEnd
+        || std::any_of(m_runs.begin(), m_runs.end(), isOpen);
 }
 
 void batch_agent::poll()
@@ -76,16 +81,16 @@
     request.deadline = now + request.wait + OrderTimeout;
     request.freshConnection = m_pollOnFreshConnection;
     const std::uint64_t lastSeen = request.acknowledgedEnd;
+    m_polling = true;
     sendPoll(
         std::move(request),
         [this, sentToken = currentToken(), workerIncarnation = m_workerIncarnation, now, lastSeen,
          grant, isRenewal, startsSent = m_startsSent](const poll_answer &answer) {
+            m_polling = false;
             if (grant && answer.outcome != order_outcome::NoAnswer)
                 m_grants.noteAnswered(*grant);
-            if (answer.outcome == order_outcome::Done && workerIncarnation == m_workerIncarnation) {
-                m_grants.noteAccepted(sentToken, m_hooks.now());
+            if (answer.outcome == order_outcome::Done && workerIncarnation == m_workerIncarnation)
                 m_renewalDue = m_renewalDue && !(isRenewal && startsSent == m_startsSent);
-            }
             // Carried out late, it would extend the lease past the time for which the
             // journal was read.
             if (grant)
@@ -98,9 +103,7 @@
 
 void batch_agent::sendPoll(poll_request request, std::function<void(const poll_answer &)> done)
 {
-    m_polling = true;
     m_worker->poll(std::move(request), [this, done = std::move(done)](const poll_answer &answer) {
-        m_polling = false;
         // It may come from an earlier incarnation or from one that is not known yet.
         const bool isUnidentified = answer.outcome == order_outcome::Done && !answer.workerStartMs;
         if (isUnidentified)
@@ -121,6 +124,20 @@
         : listed;
 }
 
+bool batch_agent::checkIncarnation(const poll_answer &answer, std::uint64_t sentToken,
+                                   absl::Time sentAt)
+{
+    if (*answer.workerStartMs != m_description->workerStartMs) {
+        onRestartSeen(*answer.workerStartMs);
+        return false;
+    }
+    m_incarnationKnownAsOf = std::max(m_incarnationKnownAsOf, sentAt);
+    m_grants.noteAccepted(sentToken, m_hooks.now());
+    if (sentToken == currentToken())
+        m_lateOrderUntil = absl::InfinitePast();
+    return true;
+}
+
 void batch_agent::onPoll(const poll_answer &answer, std::uint64_t sentToken,
                          std::uint64_t workerIncarnation, absl::Time sentAt)
 {
@@ -150,13 +167,9 @@
     }
     if (!m_description || workerIncarnation != m_workerIncarnation)
         return; // the poll was for an earlier incarnation
-    if (answer.workerStartMs && *answer.workerStartMs != m_description->workerStartMs) {
-        onRestartSeen(*answer.workerStartMs);
+    if (!checkIncarnation(answer, sentToken, sentAt))
         return;
-    }
     m_incarnationConfirmedAt = now;
-    if (sentToken == currentToken())
-        m_lateOrderUntil = absl::InfinitePast();
     // Only a late order can have kept these runs alive; the decider may soon give them away.
     updateLeaseProof();
     const bool leasesOver = now > leasesOverAt(m_leaseProofAsOf);
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -19,6 +19,17 @@
 /// Attempts to start an item before the agent reports that it did not start.
 constexpr std::uint32_t MaxStartAttempts = 4;
 
+/// A start is sent only this long after a poll that the present incarnation of the worker has
+/// answered. A restart takes longer, so the start cannot reach the next incarnation, whose clock
+/// starts anew: a lease by the earlier one would be the longest there.
+constexpr absl::Duration IncarnationKnownFor = absl::Milliseconds(400);
+
+/// Interval between two polls that ask for the incarnation, while none is answered.
+constexpr absl::Duration ConfirmInterval = absl::Milliseconds(100);
+
+/// Starts are reported as not started if the incarnation is not known after this time.
+constexpr absl::Duration ConfirmTimeout = absl::Milliseconds(3'000);
+
 /// Share of the gang timeout within which the order has to reach all members.
 constexpr double GangStartShare = 0.6;
 
@@ -71,17 +82,22 @@
     report({endOf(id, run_end::NotStarted, "")}, 0);
 }
 
-void batch_agent::startDue()
+std::vector<item_run> batch_agent::dueStarts() const
 {
-    // Orders before the announcement may be void; only the records up to it tell.
-    if (!m_synced || m_evicted || m_follower.position() <= m_announcedOffset)
-        return;
     std::vector<item_run> due;
     for (const auto &[id, run] : m_runs) {
         if (run.state == phase::Ordered && !run.uncertain && isCurrent(run))
             due.push_back(id);
     }
-    for (const item_run &id : due) {
+    return due;
+}
+
+void batch_agent::startDue()
+{
+    // Orders before the announcement may be void; only the records up to it tell.
+    if (!m_synced || m_evicted || m_follower.position() <= m_announcedOffset)
+        return;
+    for (const item_run &id : dueStarts()) {
         const local_run &run = m_runs.at(id);
         const bool late
             = run.stale || m_hooks.now() - run.receivedAt > m_options.gangTimeout * GangStartShare;
@@ -93,6 +109,8 @@
             reportNotStarted(id, "too late for its gang");
         else if (run.startAttempts >= MaxStartAttempts)
             reportNotStarted(id, "all start attempts failed");
+        else if (m_hooks.now() >= m_confirmBefore)
+            reportNotStarted(id, "worker does not answer");
         else
             start(id);
     }
@@ -100,11 +118,16 @@
 
 void batch_agent::start(const item_run &id)
 {
+    const bool isKnown = m_hooks.now() - m_incarnationKnownAsOf < IncarnationKnownFor;
+    if (!isKnown)
+        confirmIncarnation();
     const std::int64_t leaseMs = longestLeaseMs(granted_leases::effect::Starts);
     if (leaseMs < std::min(ShortestStartLeaseMs, m_options.longestLeaseMs)) {
         hastenHeartbeat();
         return;
     }
+    if (!isKnown)
+        return;
     local_run &run = m_runs.at(id);
     run.state = phase::Starting;
     run.progressAt = m_hooks.now();
@@ -133,6 +156,53 @@
                     });
 }
 
+void batch_agent::confirmIncarnation()
+{
+    const absl::Time now = m_hooks.now();
+    const bool isFirst = m_confirmBefore == absl::InfiniteFuture();
+    if (isFirst)
+        m_confirmBefore = now + ConfirmTimeout;
+    m_confirmDue = true;
+    if (now < m_confirmAt)
+        return;
+    m_confirmAt = now + ConfirmInterval;
+    poll_request request;
+    request.fencingToken = currentToken();
+    request.worker = m_description->worker;
+    request.deadline = now + IncarnationKnownFor; // a later answer would be of no use
+    request.freshConnection = !isFirst;
+    sendPoll(std::move(request),
+             [this, sentToken = currentToken(), workerIncarnation = m_workerIncarnation,
+              now](const poll_answer &answer) {
+                 onConfirmed(answer, sentToken, workerIncarnation, now);
+             });
+}
+
+void batch_agent::onConfirmed(const poll_answer &answer, std::uint64_t sentToken,
+                              std::uint64_t workerIncarnation, absl::Time sentAt)
+{
+    if (m_superseded || !m_description || workerIncarnation != m_workerIncarnation)
+        return;
+    updateWorkerClock(answer.workerClockMs, answer.outcome, workerIncarnation);
+    switch (answer.outcome) {
+    case order_outcome::Done:
+        checkIncarnation(answer, sentToken, sentAt);
+        break;
+    case order_outcome::StaleToken:
+        if (sentToken == currentToken())
+            supersedeOrders();
+        break;
+    case order_outcome::Unhealthy:
+    case order_outcome::NotListening:
+    case order_outcome::Rejected:
+        for (const item_run &id : dueStarts())
+            reportNotStarted(id, "refused");
+        break;
+    default:
+        break; // asked again
+    }
+}
+
 void batch_agent::onStarted(const item_run &id, std::uint64_t sentToken,
                             std::uint64_t workerIncarnation, const order_answer &answer)
 {
--- a/src/batch/batch_agent_worker.cpp
+++ b/src/batch/batch_agent_worker.cpp
@@ -86,6 +86,7 @@
     m_handledEnd = 0;
     m_acknowledgedEnd = 0;
     m_incarnationConfirmedAt = absl::InfinitePast();
+    m_incarnationKnownAsOf = absl::InfinitePast();
     m_silentAt = absl::InfiniteFuture();
     m_refusedPolls = 0;
     m_workerClockMs.reset();
@@ -274,7 +275,9 @@
     request.worker = m_candidate->worker.worker;
     request.deadline = m_hooks.now() + OrderTimeout;
     request.freshConnection = true;
+    m_polling = true;
     sendPoll(std::move(request), [this, candidate = *m_candidate](const poll_answer &answer) {
+        m_polling = false;
         onProbe(candidate, answer);
     });
 }
--- a/tests/batch_end_proof_test.cpp
+++ b/tests/batch_end_proof_test.cpp
@@ -132,12 +132,11 @@
 
     fake_item_worker &worker() { return *m_site.workers.at(Agent); }
 
-    /// Lets the worker carry out the next orders late, waits for the start of the item `id`, and
-    /// ends the agent for good.
+    /// Lets the worker carry out its next start and all later orders late, waits for the start of
+    /// the item `id`, and ends the agent for good.
     void loseAgentAfterALateStart(const std::string &id)
     {
-        worker().faults.executeLate = 1.0;
-        worker().faults.lateBy = Late;
+        m_site.delayOrdersFromNextStart(Agent, Late);
         m_site.submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
         m_site.clock.runFor(absl::Milliseconds(150));
         m_site.kill(Agent);
--- a/tests/batch_late_order_test.cpp
+++ b/tests/batch_late_order_test.cpp
@@ -182,7 +182,7 @@
 TEST_F(batch_late_order_test, runOfAKilledAgentIsGivenAwayAfterItsLateStartHasEnded)
 {
     start();
-    delayOrders(LongestOrderDelay);
+    m_site->delayOrdersFromNextStart("agent-0", LongestOrderDelay);
     m_site->submit("entry-0", m_id, "normal", batch_site::stepOf(2, 1, true));
     runFor(absl::Milliseconds(500));
     ASSERT_EQ(m_site->history.starts, 0U);
@@ -308,7 +308,7 @@
     startAtPhase();
     loseHeartbeats();
     runFor(absl::Milliseconds(1'700));
-    delayOrders(LongestOrderDelay);
+    m_site->delayOrdersFromNextStart("agent-0", LongestOrderDelay);
     m_site->submit("entry-0", m_id, "normal", batch_site::stepOf(2, 1, true));
     runFor(absl::Milliseconds(300));
     loseAgent();
@@ -322,7 +322,8 @@
     startAtPhase();
     runGang();
     runUntilOrderIsLateBy(LongestOrderDelay);
-    delayOrders(LongestOrderDelay - absl::Milliseconds(600));
+    delayOrders(absl::ZeroDuration());
+    m_site->delayOrdersFromNextStart("agent-0", LongestOrderDelay - absl::Milliseconds(600));
     m_site->submit("entry-0", batch_site::idOf(2), "normal", batch_site::stepOf(2, 1, true));
     runFor(absl::Milliseconds(300));
     loseAgent();
@@ -336,6 +337,8 @@
     startAtPhase();
     runGang();
     runUntilOrderIsLateBy(LongestOrderDelay);
+    delayOrders(absl::ZeroDuration());
+    m_site->delayOrdersFromNextStart("agent-0", LongestOrderDelay);
     m_site->submit("entry-0", batch_site::idOf(2), "normal", batch_site::stepOf(2, 1, true));
     runFor(absl::Milliseconds(300));
     loseAgent();
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -148,6 +148,19 @@
             suspension.uncounted += duration;
     }
 
+    /// From the next start on, which the agent `name` sends after it has confirmed the incarnation
+    /// of its worker, the worker carries out every order late by `delay`.
+    void delayOrdersFromNextStart(const std::string &name, absl::Duration delay)
+    {
+        item_worker_port &port = agents.at(name)->worker;
+        port.start = [this, name, delay, send = port.start](
+                         start_order order, std::function<void(order_answer)> done) {
+            workers.at(name)->faults.executeLate = 1.0;
+            workers.at(name)->faults.lateBy = delay;
+            send(std::move(order), std::move(done));
+        };
+    }
+
     /// Submits to the entry `name` and returns the reply, which may come later.
     std::shared_ptr<job_reply> submit(const std::string &name, const std::string &id,
                                       const std::string &queue, const batch_step &step)
--- a/tests/batch_successor_test.cpp
+++ b/tests/batch_successor_test.cpp
@@ -314,18 +314,29 @@
 protected:
     void startWithRebornWorker()
     {
-        start();
-        fake_item_worker &worker = *m_site->workers.at(Agent);
-        worker.wallSkew = absl::Seconds(2);
-        worker.restart();
+        startWithWorkerOfLaterTime();
         m_site->clock.runFor(absl::Seconds(1));
-        m_earlier = worker.heartbeat();
-        worker.wallSkew = absl::ZeroDuration();
-        worker.restart();
-        ASSERT_LT(worker.description().workerStartMs, m_earlier.worker.workerStartMs);
+        restartWithEarlierTime();
         m_site->clock.runFor(absl::Milliseconds(500));
     }
 
+    void startWithWorkerOfLaterTime()
+    {
+        start();
+        worker().wallSkew = absl::Seconds(6);
+        worker().restart();
+    }
+
+    void restartWithEarlierTime()
+    {
+        m_earlier = worker().heartbeat();
+        worker().wallSkew = absl::ZeroDuration();
+        worker().restart();
+        ASSERT_LT(worker().description().workerStartMs, m_earlier.worker.workerStartMs);
+    }
+
+    fake_item_worker &worker() { return *m_site->workers.at(Agent); }
+
     worker_heartbeat m_earlier;
 };
 
@@ -334,15 +345,35 @@
 // then announced it, which ended that run for the decider.
 TEST_F(batch_reborn_test, orderForTheIncarnationBeforeIsStopped)
 {
-    startWithRebornWorker();
+    startWithWorkerOfLaterTime();
+    m_site->clock.runFor(absl::Seconds(4));
+    // The order is sent to one incarnation and reaches the next one.
+    worker().faults.startTransit = absl::Milliseconds(600);
     const std::string id = batch_site::idOf(1);
     m_site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+    m_site->clock.runFor(absl::Milliseconds(50));
+    restartWithEarlierTime();
+    m_site->clock.runFor(absl::Milliseconds(600));
+    worker().faults.startTransit = absl::ZeroDuration();
     m_site->clock.runFor(absl::Seconds(40));
     EXPECT_THAT(m_site->history.breaches, IsEmpty()) << m_site->decisionsAbout(id);
     EXPECT_EQ(m_site->history.starts, 2U) << "one for each incarnation";
     EXPECT_EQ(m_site->history.done, 1U) << m_site->decisionsAbout(id);
 }
 
+// Guards against work that is thrown away, as an order for the incarnation before runs on such a
+// worker until its agent learns of the restart.
+TEST_F(batch_reborn_test, orderForTheIncarnationBeforeIsNotSent)
+{
+    startWithRebornWorker();
+    const std::string id = batch_site::idOf(1);
+    m_site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+    m_site->clock.runFor(absl::Seconds(40));
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << m_site->decisionsAbout(id);
+    EXPECT_EQ(m_site->history.starts, 1U) << m_site->decisionsAbout(id);
+    EXPECT_EQ(m_site->history.done, 1U) << m_site->decisionsAbout(id);
+}
+
 // Guards against a worker that gets no orders for its present incarnation because its heartbeats
 // are taken for delayed ones.
 TEST_F(batch_reborn_test, idleWorkerIsAnnounced)
