The wait for a leaving worker counts leases that late or misdirected polls have left

What callers saw: two runs of one item are possible when a worker restarts under its name while its agent is cut from the store, and gives notice soon after the agent has started runs on it again.

Cause: a poll by the clock of the incarnation before gives the next one the longest lease (6 s), however short its agent meant it to be. Runs that start there take over that lease, but the end of all leases, which the wait for a worker that leaves goes by, was computed from the clock and the lease that the agent had sent.

Change: a new incarnation may carry out orders for the one before until it accepts the raised token. From that answer on the longest lease counts for the wait, as it does after any answer that makes late orders void. No run can start at the new incarnation before that answer, so no poll by the earlier clock can extend a lease later.

--- a/src/batch/batch_agent_poll.cpp
+++ b/src/batch/batch_agent_poll.cpp
@@ -132,9 +132,14 @@
         return false;
     }
     m_incarnationKnownAsOf = std::max(m_incarnationKnownAsOf, sentAt);
-    m_grants.noteAccepted(sentToken, m_hooks.now());
-    if (sentToken == currentToken())
+    const absl::Time now = m_hooks.now();
+    m_grants.noteAccepted(sentToken, now);
+    if (sentToken == currentToken() && m_lateOrderUntil > now) {
+        // Until now a late order may have extended the lease.
+        m_leaseOverAt = std::max(m_leaseOverAt,
+                                 now + longestLeaseDuration(m_options.longestLeaseMs) + LeaseSlack);
         m_lateOrderUntil = absl::InfinitePast();
+    }
     return true;
 }
 
--- a/src/batch/batch_agent_worker.cpp
+++ b/src/batch/batch_agent_worker.cpp
@@ -1,5 +1,6 @@
 /// @file The agent and the incarnations of its worker: reports, notices and announcements.
 #include "hyssoppond/batch/batch_agent_base.h"
+#include "hyssoppond/batch/lease_rule_func.h"
 
 #include "batch_agent_orders_func.h"
 
@@ -94,6 +95,7 @@
     m_pollAt = m_hooks.now();
     // An order for the previous incarnation may still arrive at this one.
     supersedeOrders();
+    m_lateOrderUntil = std::max(m_lateOrderUntil, m_hooks.now() + LongestOrderDelay);
 }
 
 void batch_agent::onRestartSeen(unix_ms workerStartMs)
--- a/tests/batch_late_order_test.cpp
+++ b/tests/batch_late_order_test.cpp
@@ -389,6 +389,63 @@
     expectRunsGivenAwayInTime(2);
 }
 
+/// The worker restarts under its name, refuses connections meanwhile, and answers a poll whose
+/// lease is short, as its agent is cut from the store, but counts by the clock of the incarnation
+/// before. It then holds the longest lease. Its agent learns of the restart by that answer.
+class batch_replaced_worker_test : public batch_lost_agent_test
+{
+protected:
+    void SetUp() override
+    {
+        startAtPhase();
+        runFor(absl::Seconds(55)); // the clock of the worker is far ahead of that of the next one
+        runGang();
+        cutAgent();
+        runFor(absl::Milliseconds(9'200));
+        // Just after a heartbeat of the worker, which the next ones follow every 1.5 s.
+        while (absl::ToUnixMillis(m_site->clock.now()) % 1'500 != 10)
+            runFor(absl::Milliseconds(1));
+        item_worker_port &port = m_site->agents.at("agent-0")->worker;
+        const auto send = port.poll;
+        bool leaseSent = false;
+        port.poll = [&leaseSent, send](const poll_request &request,
+                                       const std::function<void(poll_answer)> &done) {
+            leaseSent = leaseSent || request.leaseUntilMs;
+            send(request, done);
+        };
+        worker().faults.notListening = true;
+        worker().restart();
+        runFor(absl::Milliseconds(500));
+        worker().faults.notListening = false;
+        leaseSent = false;
+        for (int i = 0; i < 400 && !leaseSent; ++i)
+            runFor(absl::Milliseconds(5));
+        port.poll = send;
+        ASSERT_TRUE(leaseSent) << m_site->decisionsAbout("");
+        m_replacedAt = m_site->clock.now();
+        healAgent();
+        while (worker().running() < 2 && m_site->clock.now() - m_replacedAt < absl::Seconds(5))
+            runFor(absl::Milliseconds(5));
+        ASSERT_EQ(worker().running(), 2U) << m_site->decisionsAbout("");
+    }
+
+    absl::Time m_replacedAt; ///< when the present incarnation of the worker took the poll
+};
+
+// Guards against runs that are given away while the lease by a poll for the incarnation before is
+// in force, when the worker gives notice and answers nothing more.
+TEST_P(batch_replaced_worker_test, runsOfALeavingWorkerWaitForALeaseByTheClockBefore)
+{
+    m_site->agents.at("agent-0")->node->onWorkerLeft(worker().description().worker);
+    worker().faults.unreachable = true;
+    offerOtherWorker();
+    runFor(absl::Seconds(40));
+    EXPECT_EQ(m_site->workers.at("agent-1")->running(), 2U) << m_site->decisionsAbout(m_id);
+    EXPECT_THAT(m_site->history.breaches, IsEmpty()) << m_site->decisionsAbout("");
+}
+
+INSTANTIATE_TEST_SUITE_P(Phases, batch_replaced_worker_test, testing::Range(0, 800, 100));
+
 INSTANTIATE_TEST_SUITE_P(Phases, batch_lost_agent_test, testing::Range(0, 800, 100));
 
 } // namespace
