The first read after a load begins at once also after a long try

A load whose last page came with a long try was followed by a pause of up to 0.2 s, as the time for the next try of that page was kept.

--- a/src/batch/log_follower.cpp
+++ b/src/batch/log_follower.cpp
@@ -233,6 +233,7 @@
     m_position = m_loadPosition;
     m_currentAsOf = std::max(m_currentAsOf, m_loadCurrentAsOf);
     m_failures = 0;
+    m_retryAt = absl::InfinitePast();
     if (!m_reachable) {
         m_reachable = true;
         if (onReachable)
--- a/tests/batch_slow_load_test.cpp
+++ b/tests/batch_slow_load_test.cpp
@@ -116,6 +116,23 @@
 INSTANTIATE_TEST_SUITE_P(delays, batch_slow_load_test,
                          testing::Values(absl::Milliseconds(1'500), absl::Seconds(3)));
 
+// Guards against a pause between a load that took a long try and the first read after it.
+TEST(batch_slow_load_follow_test, readAfterALongTryBeginsAtOnce)
+{
+    for (int delayMs = 1'300; delayMs < 4'500; delayMs += 100) {
+        slow_store_site site(1);
+        site.faults().answerDelay = absl::Milliseconds(delayMs);
+        absl::Time readAt = absl::InfiniteFuture();
+        site.port.read = [&, read = site.port.read](const read_request &request, auto done) {
+            readAt = std::min(readAt, site.clock.now());
+            read(request, done);
+        };
+        site.clock.runFor(absl::Seconds(20));
+        ASSERT_EQ(site.loadedRecords, 1U);
+        EXPECT_LE(readAt, site.loadedAt + absl::Milliseconds(5)) << delayMs << " ms";
+    }
+}
+
 // Guards against tries that keep each other from arriving: all of them share the link.
 TEST(batch_slow_link_test, pageArrivesOverALinkThatItsTriesShare)
 {
