--- a/review/common-2/platform_site.py
+++ b/review/common-2/platform_site.py
@@ -166,6 +166,7 @@
         self.bytes = 0
         self.intercept = None  # async (method, path, query, headers, body, go) -> answer
         self.refused_appends = []
+        self.full = False
         self.http = HttpServer(port, self.handle)
 
     def topic(self, name):
@@ -246,6 +247,9 @@
             self.record(f"store: append of {len(records)} records, {total} bytes to {name} answered 413: above callBytes")
             return answer(413, {"message": "the records of one call total more than callBytes"})
         if self.bytes + total > self.TOTAL_BYTES:
+            if not self.full:
+                self.record(f"store: {self.bytes / 1e6:.1f} MB are stored, appends receive 507 from now on")
+            self.full = True
             return answer(507, {})
         wait = max(0.0, topic["busy_until"] - time.monotonic())
         if wait > 2.0:
