--- /dev/null
+++ b/src/batch/plan_fit.cpp
@@ -0,0 +1,135 @@
+/// @file The workers that a unit fits on.
+#include "plan_maker.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace hyssoppond::batch {
+
+std::uint32_t plan_maker::capacityFor(const waiting_unit &unit, const worker_availability &worker,
+                                      const resources &available) const
+{
+    const resources &need = unit.step->item;
+    std::int64_t count = unit.members;
+    const auto limit = [&count](std::int64_t amount, std::int64_t perItem) {
+        if (perItem > 0)
+            count = std::min(count, std::max<std::int64_t>(0, amount) / perItem);
+    };
+    if (!unit.step->usesIdleCpu)
+        limit(available.cpuMilli, need.cpuMilli);
+    limit(available.memoryMb, need.memoryMb);
+    limit(available.accelerators, need.accelerators);
+    if (unit.step->maxPerWorker > 0) {
+        const auto index = static_cast<std::size_t>(&worker - workers.data());
+        const std::int64_t membersOnWorker = membersOfStep(unit)[index];
+        count
+            = std::min(count, std::max<std::int64_t>(0, unit.step->maxPerWorker - membersOnWorker));
+    }
+    return static_cast<std::uint32_t>(count);
+}
+
+std::vector<std::uint32_t> &plan_maker::membersOfStep(const waiting_unit &unit) const
+{
+    const step_state &step = unit.job->occurrences[unit.id.occurrence].steps[unit.id.step];
+    const auto [entry, added] = stepMembers.try_emplace(&step);
+    if (!added)
+        return entry->second;
+    entry->second.resize(workers.size());
+    for (const unit_state &other : step.units) {
+        if (!other.active)
+            continue;
+        for (const member_state &member : other.active->members) {
+            const auto found = workerIndexes.find(member.member.agent.str());
+            if (!member.end && found != workerIndexes.end())
+                ++entry->second[found->second];
+        }
+    }
+    return entry->second;
+}
+
+std::vector<std::size_t> plan_maker::fit(const waiting_unit &unit, const worker_filter &accept,
+                                         const resource_measure &available) const
+{
+    struct candidate
+    {
+        std::size_t worker;
+        std::uint32_t capacity;
+        resources available;
+    };
+    std::vector<candidate> candidates;
+    std::uint32_t total = 0;
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+        if (!isSuitable(unit, workers[i]) || !accept(workers[i]))
+            continue;
+        const resources free = available(workers[i]);
+        const std::uint32_t capacity = capacityFor(unit, workers[i], free);
+        if (capacity == 0)
+            continue;
+        candidates.push_back({i, capacity, free});
+        total += capacity;
+    }
+    if (total < unit.members)
+        return {};
+    // Best fit: workers with the fewest free accelerators first, so that whole workers stay free
+    // for items that need all accelerators of one.
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [](const candidate &a, const candidate &b) {
+                         if (a.available.accelerators != b.available.accelerators)
+                             return a.available.accelerators < b.available.accelerators;
+                         return a.available.cpuMilli < b.available.cpuMilli;
+                     });
+    std::vector<std::size_t> chosen;
+    for (const candidate &candidateWorker : candidates) {
+        for (std::uint32_t i = 0; i < candidateWorker.capacity && chosen.size() < unit.members; ++i)
+            chosen.push_back(candidateWorker.worker);
+    }
+    return chosen;
+}
+
+std::vector<std::size_t> plan_maker::candidateRacks(const waiting_unit &unit) const
+{
+    std::vector<std::size_t> candidates;
+    for (std::size_t rack = 0; rack < racks.size(); ++rack) {
+        if (unit.step->dataRack.empty() || unit.step->dataRack == racks[rack])
+            candidates.push_back(rack);
+    }
+    return candidates;
+}
+
+bool plan_maker::someRackCouldHold(const waiting_unit &unit) const
+{
+    std::vector<std::uint32_t> total(racks.size(), 0);
+    const bool anyRack = unit.step->dataRack.empty();
+    for (const worker_availability &worker : workers) {
+        if ((anyRack || worker.description->rack == unit.step->dataRack)
+            && worker.description->service == unit.queue->service && !worker.description->draining
+            && !worker.silent)
+            total[worker.rack] += capacityFor(unit, worker, worker.description->capacity);
+    }
+    return std::any_of(total.begin(), total.end(),
+                       [&unit](std::uint32_t members) { return members >= unit.members; });
+}
+
+std::vector<std::size_t> plan_maker::fitInOneRack(const waiting_unit &unit,
+                                                  const resource_measure &available) const
+{
+    std::vector<std::int64_t> freeInRack(racks.size(), 0);
+    for (const worker_availability &worker : workers)
+        freeInRack[worker.rack] += available(worker).accelerators;
+    std::vector<std::size_t> best;
+    std::int64_t fewestFree = std::numeric_limits<std::int64_t>::max();
+    for (const std::size_t rack : candidateRacks(unit)) {
+        if (freeInRack[rack] >= fewestFree)
+            continue;
+        const std::vector<std::size_t> chosen = fit(
+            unit, [rack](const worker_availability &worker) { return worker.rack == rack; },
+            available);
+        if (chosen.empty())
+            continue;
+        fewestFree = freeInRack[rack];
+        best = chosen;
+    }
+    return best;
+}
+
+} // namespace hyssoppond::batch
--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -1,4 +1,4 @@
-/// @file Placement of one unit: the workers it fits on, claims and reservations.
+/// @file Placement of one unit: claims, orders and reservations.
 #include "plan_maker.h"
 
 #include <absl/strings/str_cat.h>
@@ -11,20 +11,6 @@
 
 namespace {
 
-/// Urgent jobs submitted within this time determine the headroom, in ms.
-constexpr unix_ms HeadroomWindowMs = 10'000;
-
-/// The headroom lets this many urgent jobs of mean size start without stopping other work, times
-/// the square root of the number that is expected, as the number varies by that.
-constexpr double HeadroomJobs = 1.2;
-
-/// The headroom also covers the urgent jobs that arrive within this time, in seconds. It is about
-/// the time in which a stop frees capacity for more of them.
-constexpr double HeadroomSeconds = 2.2;
-
-/// Largest share of all accelerators that is kept free as headroom.
-constexpr double HeadroomShare = 0.5;
-
 /// Gangs for which one plan reserves capacity. More would leave too many workers idle.
 constexpr std::uint32_t MaxGangReservations = 2;
 
@@ -38,147 +24,6 @@
 
 } // namespace
 
-bool plan_maker::isSuitable(const waiting_unit &unit, const worker_availability &worker) const
-{
-    const worker_description &description = *worker.description;
-    if (description.draining || worker.quarantined || worker.silent || worker.evicted
-        || description.service != unit.queue->service)
-        return false;
-    if (unit.state->failedOn.contains(worker.agent)
-        && unit.state->failedOn.size() * 2 < workers.size())
-        return false;
-    const std::string &label = unit.step->requiredLabel;
-    return label.empty()
-        || std::find(description.labels.begin(), description.labels.end(), label)
-        != description.labels.end();
-}
-
-std::uint32_t plan_maker::capacityFor(const waiting_unit &unit, const worker_availability &worker,
-                                      const resources &available) const
-{
-    const resources &need = unit.step->item;
-    std::int64_t count = unit.members;
-    const auto limit = [&count](std::int64_t amount, std::int64_t perItem) {
-        if (perItem > 0)
-            count = std::min(count, std::max<std::int64_t>(0, amount) / perItem);
-    };
-    if (!unit.step->usesIdleCpu)
-        limit(available.cpuMilli, need.cpuMilli);
-    limit(available.memoryMb, need.memoryMb);
-    limit(available.accelerators, need.accelerators);
-    if (unit.step->maxPerWorker > 0) {
-        const auto index = static_cast<std::size_t>(&worker - workers.data());
-        const std::int64_t membersOnWorker = membersOfStep(unit)[index];
-        count
-            = std::min(count, std::max<std::int64_t>(0, unit.step->maxPerWorker - membersOnWorker));
-    }
-    return static_cast<std::uint32_t>(count);
-}
-
-std::vector<std::uint32_t> &plan_maker::membersOfStep(const waiting_unit &unit) const
-{
-    const step_state &step = unit.job->occurrences[unit.id.occurrence].steps[unit.id.step];
-    const auto [entry, added] = stepMembers.try_emplace(&step);
-    if (!added)
-        return entry->second;
-    entry->second.resize(workers.size());
-    for (const unit_state &other : step.units) {
-        if (!other.active)
-            continue;
-        for (const member_state &member : other.active->members) {
-            const auto found = workerIndexes.find(member.member.agent.str());
-            if (!member.end && found != workerIndexes.end())
-                ++entry->second[found->second];
-        }
-    }
-    return entry->second;
-}
-
-std::vector<std::size_t> plan_maker::fit(const waiting_unit &unit, const worker_filter &accept,
-                                         const resource_measure &available) const
-{
-    struct candidate
-    {
-        std::size_t worker;
-        std::uint32_t capacity;
-        resources available;
-    };
-    std::vector<candidate> candidates;
-    std::uint32_t total = 0;
-    for (std::size_t i = 0; i < workers.size(); ++i) {
-        if (!isSuitable(unit, workers[i]) || !accept(workers[i]))
-            continue;
-        const resources free = available(workers[i]);
-        const std::uint32_t capacity = capacityFor(unit, workers[i], free);
-        if (capacity == 0)
-            continue;
-        candidates.push_back({i, capacity, free});
-        total += capacity;
-    }
-    if (total < unit.members)
-        return {};
-    // Best fit: workers with the fewest free accelerators first, so that whole workers stay free
-    // for items that need all accelerators of one.
-    std::stable_sort(candidates.begin(), candidates.end(),
-                     [](const candidate &a, const candidate &b) {
-                         if (a.available.accelerators != b.available.accelerators)
-                             return a.available.accelerators < b.available.accelerators;
-                         return a.available.cpuMilli < b.available.cpuMilli;
-                     });
-    std::vector<std::size_t> chosen;
-    for (const candidate &candidateWorker : candidates) {
-        for (std::uint32_t i = 0; i < candidateWorker.capacity && chosen.size() < unit.members; ++i)
-            chosen.push_back(candidateWorker.worker);
-    }
-    return chosen;
-}
-
-std::vector<std::size_t> plan_maker::candidateRacks(const waiting_unit &unit) const
-{
-    std::vector<std::size_t> candidates;
-    for (std::size_t rack = 0; rack < racks.size(); ++rack) {
-        if (unit.step->dataRack.empty() || unit.step->dataRack == racks[rack])
-            candidates.push_back(rack);
-    }
-    return candidates;
-}
-
-bool plan_maker::someRackCouldHold(const waiting_unit &unit) const
-{
-    std::vector<std::uint32_t> total(racks.size(), 0);
-    const bool anyRack = unit.step->dataRack.empty();
-    for (const worker_availability &worker : workers) {
-        if ((anyRack || worker.description->rack == unit.step->dataRack)
-            && worker.description->service == unit.queue->service && !worker.description->draining
-            && !worker.silent)
-            total[worker.rack] += capacityFor(unit, worker, worker.description->capacity);
-    }
-    return std::any_of(total.begin(), total.end(),
-                       [&unit](std::uint32_t members) { return members >= unit.members; });
-}
-
-std::vector<std::size_t> plan_maker::fitInOneRack(const waiting_unit &unit,
-                                                  const resource_measure &available) const
-{
-    std::vector<std::int64_t> freeInRack(racks.size(), 0);
-    for (const worker_availability &worker : workers)
-        freeInRack[worker.rack] += available(worker).accelerators;
-    std::vector<std::size_t> best;
-    std::int64_t fewestFree = std::numeric_limits<std::int64_t>::max();
-    for (const std::size_t rack : candidateRacks(unit)) {
-        if (freeInRack[rack] >= fewestFree)
-            continue;
-        const std::vector<std::size_t> chosen = fit(
-            unit, [rack](const worker_availability &worker) { return worker.rack == rack; },
-            available);
-        if (chosen.empty())
-            continue;
-        fewestFree = freeInRack[rack];
-        best = chosen;
-    }
-    return best;
-}
-
 void plan_maker::reserve(const waiting_unit &unit, const std::vector<std::size_t> &chosen)
 {
     for (const std::size_t worker : chosen) {
@@ -276,16 +121,6 @@
     decisions.push_back({std::move(ordered), describe(unit)});
 }
 
-std::int64_t plan_maker::freeAccelerators() const
-{
-    std::int64_t available = 0;
-    for (const worker_availability &worker : workers) {
-        if (!worker.description->draining && !worker.quarantined && !worker.silent)
-            available += std::max<std::int64_t>(0, worker.free.accelerators);
-    }
-    return available;
-}
-
 std::string plan_maker::describe(const waiting_unit &unit) const
 {
     return absl::StrCat("latest start in ", unit.latestStartMs - input.nowMs, " ms, lateness ",
@@ -420,61 +255,4 @@
     reserve(unit, best);
 }
 
-void plan_maker::computeHeadroom()
-{
-    std::int64_t demand = 0;
-    std::int64_t wholeDemand = 0;
-    std::int64_t count = 0;
-    std::int64_t capacity = 0;
-    std::int64_t largestWorker = 0;
-    for (const worker_availability &worker : workers) {
-        capacity += worker.description->capacity.accelerators;
-        largestWorker = std::max(largestWorker, worker.description->capacity.accelerators);
-    }
-    for (const auto &[id, job] : input.state->jobs()) {
-        if (input.nowMs - job.job.submittedMs > HeadroomWindowMs)
-            continue;
-        const queue_policy *queue = queueOf(job.job.queue);
-        if (queue == nullptr || queue->priority != 0)
-            continue;
-        ++count;
-        const batch_step &first = job.job.steps.front();
-        demand += first.item.accelerators * first.count;
-        if (first.item.accelerators * 2 > largestWorker)
-            wholeDemand += first.item.accelerators * first.count;
-    }
-    if (demand == 0)
-        return;
-    const double arrivals = HeadroomSeconds * 1000.0 * static_cast<double>(count)
-        / static_cast<double>(HeadroomWindowMs);
-    const double jobs = arrivals + HeadroomJobs * std::max(1.0, std::sqrt(arrivals));
-    const double wantedAccelerators
-        = jobs * static_cast<double>(demand) / static_cast<double>(count);
-    headroom = static_cast<std::int64_t>(
-        std::min(wantedAccelerators, HeadroomShare * static_cast<double>(capacity)));
-    if (wholeDemand > 0)
-        wholeHeadroom = headroom * wholeDemand / demand / largestWorker * largestWorker;
-}
-
-bool plan_maker::leavesIdleWorkers(const std::vector<std::size_t> &chosen) const
-{
-    std::int64_t idle = 0;
-    std::int64_t used = 0;
-    for (std::size_t i = 0; i < workers.size(); ++i) {
-        const worker_availability &worker = workers[i];
-        if (worker.description->draining || worker.quarantined || worker.silent
-            || !(worker.free == worker.description->capacity))
-            continue;
-        idle += worker.free.accelerators;
-        if (std::find(chosen.begin(), chosen.end(), i) != chosen.end())
-            used += worker.free.accelerators;
-    }
-    return used == 0 || idle - used >= wholeHeadroom;
-}
-
-bool plan_maker::leavesHeadroom(const waiting_unit &unit) const
-{
-    return freeAccelerators() - unit.step->item.accelerators * unit.members >= headroom;
-}
-
 } // namespace hyssoppond::batch
