--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -245,6 +245,7 @@
     bool m_superseded = false;
     std::uint64_t m_tokenStep = 0;
     bool m_evicted = false;
+    std::set<std::string> m_evacuatedZones;
     absl::Time m_heartbeatAt = absl::InfinitePast();
     absl::Time m_heartbeatSentAt = absl::InfinitePast();
     std::uint64_t m_heartbeats = 0;
--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -6,6 +6,7 @@
 #include "hyssoppond/batch/log_follower_base.h"
 #include "hyssoppond/batch/log_writer_base.h"
 #include "hyssoppond/batch/peer_message_type.h"
+#include "hyssoppond/batch/zone_evacuations_base.h"
 
 #include <map>
 #include <memory>
@@ -25,6 +26,9 @@
     /// The entry has little processor time, and decides only while no other one does.
     bool isReserve = false;
     scheduler_options scheduler;
+    /// Time after the request to evacuate a zone within which the last item starts there. A decider
+    /// that has not read the operator's topic for nearly as long orders nothing.
+    absl::Duration evacuateWithin = absl::InfiniteDuration();
 };
 
 /// State machine without I/O. The entry that holds partition 0 of the journal in the group decides.
@@ -40,6 +44,10 @@
 
     /// Sets the configuration in force. The caller owns it and keeps it until the next call.
     void setConfig(const site_config *config) { m_config = config; }
+    /// The caller owns the evacuations and keeps them.
+    void setEvacuations(const zone_evacuations *evacuations) { m_zoneEvacuations = evacuations; }
+    /// When the operator's topic was last read to its end.
+    std::function<absl::Time()> configReadAt;
     /// To be called when the journal shows the end of a run's member.
     void onMemberEnded(const ended_member &ended);
     /// To be called when an eviction or its end is read from the journal, also while another entry
@@ -137,6 +145,8 @@
     /// decided about the agent.
     void recordEviction(const process_id &agent, const batch_record &record);
     void declareRunsLost(const process_id &agent);
+    /// True if a zone may have been evacuated for so long that no order would be in time.
+    bool isEvacuationUnknown() const;
     plan_input planInput() const;
     void plan();
     void record(const std::vector<plan_decision> &decisions);
@@ -152,6 +162,7 @@
     const batch_state *m_state;
     const log_follower *m_journal;
     const site_config *m_config = nullptr;
+    const zone_evacuations *m_zoneEvacuations = nullptr;
     batch_scheduler m_scheduler;
 
     phase m_phase = phase::Standby;
--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -20,6 +20,7 @@
     /// How long the keys of the teams stay valid without a read that confirms the configuration.
     absl::Duration apiKeyValidity = absl::Seconds(5);
     scheduler_options scheduler;
+    absl::Duration evacuateWithin = absl::InfiniteDuration(); ///< see decider_options
 };
 
 enum class call_kind : std::uint8_t { Submit, Status, Cancel, Pending };
@@ -74,6 +75,13 @@
 
     /// Decodes the configuration in a record of the configuration topic, if it holds one.
     std::function<std::optional<site_config>(const stored_record &)> decodeConfig;
+    /// Decodes a request to evacuate a zone in a record of the configuration topic, if it holds
+    /// one.
+    void setEvacuationDecoder(
+        std::function<std::optional<zone_request>(const stored_record &)> decoder)
+    {
+        m_evacuations.decode = std::move(decoder);
+    }
     /// Called once per decision, for the log, as in batch_agent. The text `decision` is also the
     /// name of a metric and therefore stays.
     std::function<void(const char *decision, const std::string &item, const std::string &detail)>
@@ -139,6 +147,7 @@
     loop_hooks m_hooks;
     batch_state m_state;
     std::optional<site_config> m_config;
+    zone_evacuations m_evacuations;
     log_follower m_configFollower;
     log_follower m_journal;
     log_writer m_writer;
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -222,9 +222,25 @@
     }
 };
 
+/// The operator evacuates a zone or takes that back. Recorded by the decider before any later
+/// order, so that an agent which reads an order late also reads that its zone takes no work.
+struct zone_evacuated
+{
+    std::string zone;
+    bool evacuated = false;
+    /// End of the operator's topic as of which this holds. A reader whose copy of the topic ends
+    /// before it knows less than this record.
+    std::uint64_t asOf = 0;
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(zone, evacuated, asOf);
+    }
+};
+
 using batch_record = std::variant<job_submitted, job_cancelled, job_failed, run_ordered,
                                   run_stopping, run_ended, process_started, agent_announced,
-                                  agent_evicted, decider_granted, process_ending>;
+                                  agent_evicted, decider_granted, process_ending, zone_evacuated>;
 
 /// Key under which the store keeps `record`, at most 255 bytes.
 std::string keyOf(const batch_record &record);
--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -33,8 +33,9 @@
     const batch_state *state = nullptr;
     const site_config *config = nullptr;
     std::set<process_id> silent; ///< agents without recent heartbeats; they get no new work
-    absl::Time now;              ///< steady clock
-    unix_ms nowMs = 0;           ///< time of day
+    std::set<std::string> evacuatedZones; ///< zones whose workers get no new work
+    absl::Time now;                       ///< steady clock
+    unix_ms nowMs = 0;                    ///< time of day
 };
 
 /// A worker and its available capacity, while a plan is made.
@@ -48,6 +49,7 @@
     bool quarantined = false;
     bool silent = false; ///< its agent sends no heartbeats
     bool evicted = false;
+    bool evacuated = false; ///< its zone is evacuated
     /// Active runs with members here, as indexes among those of the plan, and the number of these
     /// members.
     std::vector<std::pair<std::size_t, std::uint32_t>> runs;
--- a/include/hyssoppond/batch/batch_state_base.h
+++ b/include/hyssoppond/batch/batch_state_base.h
@@ -109,6 +109,8 @@
     const std::set<process_id> &evicted() const { return m_evicted; }
     /// Whether the newest process of `agent` has recorded that it ends.
     bool isEnding(const process_id &agent) const { return m_ending.contains(agent); }
+    /// Newest record about each zone that was evacuated at some time.
+    const std::map<std::string, zone_evacuated> &evacuations() const { return m_evacuations; }
     const decider_granted &grant() const { return m_grant; }
     const std::map<process_id, process_started> &processes() const { return m_processes; }
     /// Counts the jobs that were completed, failed or cancelled. clear() does not reset it, so that
@@ -136,6 +138,7 @@
     void applyRecord(const agent_evicted &record);
     void applyRecord(const decider_granted &record);
     void applyRecord(const process_ending &record);
+    void applyRecord(const zone_evacuated &record);
 
     unit_state *mutableUnit(const unit_id &unit);
     void endMember(const unit_id &unit, unit_state *state, member_state *member, run_end how,
@@ -147,6 +150,7 @@
     std::map<process_id, agent_announced> m_agents;
     std::set<process_id> m_evicted;
     std::set<process_id> m_ending;
+    std::map<std::string, zone_evacuated> m_evacuations;
     std::map<process_id, std::set<unit_id>> m_runsOn;
     decider_granted m_grant;
     std::map<process_id, process_started> m_processes;
--- a/src/batch/batch_agent_journal.cpp
+++ b/src/batch/batch_agent_journal.cpp
@@ -19,6 +19,7 @@
     m_endedJobs.clear();
     m_stoppingRuns.clear();
     m_evicted = false;
+    m_evacuatedZones.clear();
     m_announcedStartMs.reset();
     std::map<item_run, local_run> previousRuns;
     previousRuns.swap(m_runs);
@@ -90,6 +91,11 @@
         markUnwanted(cancelled->job);
     } else if (const auto *failed = std::get_if<job_failed>(&*decoded)) {
         markUnwanted(failed->job);
+    } else if (const auto *evacuation = std::get_if<zone_evacuated>(&*decoded)) {
+        if (evacuation->evacuated)
+            m_evacuatedZones.insert(evacuation->zone);
+        else
+            m_evacuatedZones.erase(evacuation->zone);
     } else if (const auto *evicted = std::get_if<agent_evicted>(&*decoded)) {
         if (evicted->agent == m_options.agent && m_evicted != evicted->evicted) {
             m_evicted = evicted->evicted;
--- a/src/batch/batch_agent_runs.cpp
+++ b/src/batch/batch_agent_runs.cpp
@@ -105,6 +105,8 @@
             reportNotStarted(id, "no longer wanted");
         else if (m_description->draining)
             reportNotStarted(id, "worker is draining");
+        else if (m_evacuatedZones.contains(m_description->zone))
+            reportNotStarted(id, "zone is evacuated");
         else if (run.gang && late)
             reportNotStarted(id, "too late for its gang");
         else if (run.startAttempts >= MaxStartAttempts)
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace hyssoppond::batch {
 
@@ -57,6 +58,10 @@
 /// A decider whose records have no outcome for this time lets another entry take over.
 constexpr absl::Duration MaxRecordStall = absl::Milliseconds(3000);
 
+/// Time that an order takes from the plan to the start of the item, besides the time for which a
+/// start waits for the worker's incarnation.
+constexpr absl::Duration OrderDelay = absl::Milliseconds(1500);
+
 /// Pause after a plan, as a multiple of the time that it took, so that an entry with little
 /// processor time still reads the journal and keeps its membership.
 constexpr double PlanPauseFactor = 2.0;
@@ -476,6 +481,11 @@
         record(lostMembers);
 }
 
+bool batch_decider::isEvacuationUnknown() const
+{
+    return configReadAt && m_hooks.now() - configReadAt() > m_options.evacuateWithin - OrderDelay;
+}
+
 plan_input batch_decider::planInput() const
 {
     plan_input input;
@@ -483,6 +493,8 @@
     input.config = m_config;
     input.now = m_hooks.now();
     input.nowMs = absl::ToUnixMillis(m_hooks.wallNow());
+    if (m_zoneEvacuations != nullptr)
+        input.evacuatedZones = m_zoneEvacuations->zones(m_state->evacuations());
     for (const auto &[agent, watch] : m_watches) {
         if (isSilent(watch))
             input.silent.insert(agent);
@@ -498,7 +510,20 @@
 {
     m_planDue = false;
     const plan_input input = planInput();
-    const std::vector<plan_decision> decisions = m_scheduler.plan(input);
+    // The records of evacuations precede the orders of the plan, so that no agent reads such an
+    // order without them.
+    std::vector<plan_decision> decisions;
+    if (m_zoneEvacuations != nullptr) {
+        for (const zone_evacuated &record :
+             m_zoneEvacuations->missingRecords(m_state->evacuations()))
+            decisions.push_back({record, "requested by the operator"});
+    }
+    if (isEvacuationUnknown()) {
+        logDecision("plan put off", "", "the operator's topic was not read for too long");
+    } else {
+        std::vector<plan_decision> planned = m_scheduler.plan(input);
+        std::move(planned.begin(), planned.end(), std::back_inserter(decisions));
+    }
     m_nextPlanAt = m_scheduler.nextDeadline(input);
     const absl::Time plannedAt = m_hooks.now();
     m_planAllowedAt = plannedAt + (plannedAt - input.now) * PlanPauseFactor;
@@ -545,6 +570,11 @@
     } else if (const auto *stopping = std::get_if<run_stopping>(&decision)) {
         for (const member_state &member : m_state->findUnit(stopping->unit)->active->members)
             agents->insert(member.member.agent);
+    } else if (const auto *evacuated = std::get_if<zone_evacuated>(&decision)) {
+        for (const auto &[agent, announced] : m_state->agents()) {
+            if (announced.hasWorker && announced.worker.zone == evacuated->zone)
+                agents->insert(agent);
+        }
     }
 }
 
@@ -586,6 +616,9 @@
     } else if (const auto *evicted = std::get_if<agent_evicted>(&decision)) {
         logDecision(evicted->evicted ? "agent evicted" : "agent reinstated", evicted->agent.str(),
                     basis);
+    } else if (const auto *evacuation = std::get_if<zone_evacuated>(&decision)) {
+        logDecision(evacuation->evacuated ? "zone evacuated" : "zone back in use", evacuation->zone,
+                    basis);
     }
 }
 
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -50,11 +50,18 @@
           {m_options.journalTopic, absl::StrCat(m_options.entry.str(), "/", m_options.incarnation)},
           store, m_hooks)
     , m_decider({m_options.entry, m_options.journalTopic, HeartbeatTopic, "decider", "decider",
-                 m_options.wakeAddress, m_options.isReserve, m_options.scheduler},
+                 m_options.wakeAddress, m_options.isReserve, m_options.scheduler,
+                 m_options.evacuateWithin},
                 store, m_hooks, &m_state, &m_journal)
 {
-    m_configFollower.onLoaded = [this](const auto &records) { applyConfig(records); };
-    m_configFollower.onRecords = [this](const auto &records) { applyConfig(records); };
+    m_configFollower.onLoaded = [this](const auto &records) {
+        m_evacuations.load(records, m_configFollower.position());
+        applyConfig(records);
+    };
+    m_configFollower.onRecords = [this](const auto &records) {
+        m_evacuations.apply(records, records.back().offset + 1);
+        applyConfig(records);
+    };
     m_journal.onLoaded = [this](const auto &records) {
         m_state.clear();
         m_decider.onReloading();
@@ -74,6 +81,8 @@
         logDecision(reachable ? "store regained" : "store lost", "", "");
     };
     m_state.onMemberEnded = [this](const ended_member &ended) { m_decider.onMemberEnded(ended); };
+    m_decider.setEvacuations(&m_evacuations);
+    m_decider.configReadAt = [this] { return m_configFollower.currentAsOf(); };
     m_decider.sendWake = [this](const std::string &address, const std::string &message) {
         if (sendWake)
             sendWake(address, message);
--- a/src/batch/batch_record.cpp
+++ b/src/batch/batch_record.cpp
@@ -39,6 +39,7 @@
     std::string operator()(const process_ending &r) const { return "q:" + r.process.str(); }
     std::string operator()(const agent_announced &r) const { return "n:" + r.agent.str(); }
     std::string operator()(const agent_evicted &r) const { return "v:" + r.agent.str(); }
+    std::string operator()(const zone_evacuated &r) const { return "z:" + r.zone; }
     std::string operator()(const decider_granted & /*r*/) const { return "decider"; }
 };
 
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -155,6 +155,7 @@
             = quarantine != scheduler.m_quarantines.end() && quarantine->second.until > input.now;
         worker.silent = input.silent.contains(agent);
         worker.evicted = input.state->isEvicted(agent);
+        worker.evacuated = input.evacuatedZones.contains(announced.worker.zone);
         const auto rack = std::find(racks.begin(), racks.end(), announced.worker.rack);
         worker.rack = static_cast<std::size_t>(rack - racks.begin());
         if (rack == racks.end())
--- a/src/batch/batch_state.cpp
+++ b/src/batch/batch_state.cpp
@@ -27,6 +27,7 @@
     m_agents.clear();
     m_evicted.clear();
     m_ending.clear();
+    m_evacuations.clear();
     m_runsOn.clear();
     m_grant = {};
     m_processes.clear();
@@ -197,6 +198,11 @@
         m_ending.insert(record.process);
 }
 
+void batch_state::applyRecord(const zone_evacuated &record)
+{
+    m_evacuations[record.zone] = record;
+}
+
 void batch_state::applyRecord(const agent_announced &record)
 {
     m_agents[record.agent] = record;
--- a/src/batch/placement_rule.cpp
+++ b/src/batch/placement_rule.cpp
@@ -5,11 +5,20 @@
 
 namespace hyssoppond::batch {
 
+bool plan_maker::takesWork(const worker_availability &worker)
+{
+    return mayTakeWorkAgain(worker) && !worker.quarantined && !worker.evicted;
+}
+
+bool plan_maker::mayTakeWorkAgain(const worker_availability &worker)
+{
+    return !worker.description->draining && !worker.silent && !worker.evacuated;
+}
+
 bool plan_maker::isSuitable(const waiting_unit &unit, const worker_availability &worker) const
 {
     const worker_description &description = *worker.description;
-    if (description.draining || worker.quarantined || worker.silent || worker.evicted
-        || description.service != unit.queue->service)
+    if (!takesWork(worker) || description.service != unit.queue->service)
         return false;
     if (unit.state->failedOn.contains(worker.agent)
         && unit.state->failedOn.size() * 2 < workers.size())
--- a/src/batch/plan_fit.cpp
+++ b/src/batch/plan_fit.cpp
@@ -102,8 +102,7 @@
     const bool anyRack = unit.step->dataRack.empty();
     for (const worker_availability &worker : workers) {
         if ((anyRack || worker.description->rack == unit.step->dataRack)
-            && worker.description->service == unit.queue->service && !worker.description->draining
-            && !worker.silent)
+            && worker.description->service == unit.queue->service && mayTakeWorkAgain(worker))
             total[worker.rack] += capacityFor(unit, worker, worker.description->capacity);
     }
     return std::any_of(total.begin(), total.end(),
--- a/src/batch/plan_headroom.cpp
+++ b/src/batch/plan_headroom.cpp
@@ -28,7 +28,7 @@
 {
     std::int64_t available = 0;
     for (const worker_availability &worker : workers) {
-        if (!worker.description->draining && !worker.quarantined && !worker.silent)
+        if (takesWork(worker))
             available += std::max<std::int64_t>(0, worker.free.accelerators);
     }
     return available;
@@ -42,6 +42,8 @@
     std::int64_t capacity = 0;
     std::int64_t largestWorker = 0;
     for (const worker_availability &worker : workers) {
+        if (worker.evacuated)
+            continue;
         capacity += worker.description->capacity.accelerators;
         largestWorker = std::max(largestWorker, worker.description->capacity.accelerators);
     }
@@ -57,7 +59,8 @@
         if (first.item.accelerators * 2 > largestWorker)
             wholeDemand += first.item.accelerators * first.count;
     }
-    if (demand == 0)
+    // No worker is left when all zones are evacuated.
+    if (demand == 0 || largestWorker == 0)
         return;
     const double arrivals = HeadroomSeconds * 1000.0 * static_cast<double>(count)
         / static_cast<double>(HeadroomWindowMs);
@@ -76,8 +79,7 @@
     std::int64_t used = 0;
     for (std::size_t i = 0; i < workers.size(); ++i) {
         const worker_availability &worker = workers[i];
-        if (worker.description->draining || worker.quarantined || worker.silent
-            || !(worker.free == worker.description->capacity))
+        if (!takesWork(worker) || !(worker.free == worker.description->capacity))
             continue;
         idle += worker.free.accelerators;
         if (std::find(chosen.begin(), chosen.end(), i) != chosen.end())
--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -134,8 +134,10 @@
     if (unit.lateness == 0)
         return false; // waiting for a rack takes less time than a run slowed down across racks
     std::int64_t capacity = 0;
-    for (const worker_availability &worker : workers)
-        capacity += worker.description->capacity.accelerators;
+    for (const worker_availability &worker : workers) {
+        if (!worker.evacuated)
+            capacity += worker.description->capacity.accelerators;
+    }
     if (static_cast<double>(freeAccelerators())
         >= IdleSiteFreeShare * static_cast<double>(capacity))
         return true;
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -94,6 +94,11 @@
     /// Members of the unit's step on each worker, for steps with a limit of them.
     std::vector<std::uint32_t> &membersOfStep(const waiting_unit &unit) const;
     bool placeNow(const waiting_unit &unit);
+    /// True if new work of some kind may be ordered from the worker now.
+    static bool takesWork(const worker_availability &worker);
+    /// True unless the worker takes no work for a longer time. A quarantine is short.
+    static bool mayTakeWorkAgain(const worker_availability &worker);
+    /// True if `unit` may be ordered from the worker. The only rule of where work may go.
     bool isSuitable(const waiting_unit &unit, const worker_availability &worker) const;
     /// Members of `unit` that `available` on `worker` is enough for, at most the members of the
     /// unit.
--- a/tests/batch_site_base.h
+++ b/tests/batch_site_base.h
@@ -84,6 +84,11 @@
         siteProcess->relay->peers
             = [node = siteProcess->node.get()] { return node->peerAddresses(); };
         siteProcess->node->decodeConfig = [this](const stored_record &) { return config; };
+        siteProcess->node->setEvacuationDecoder([](const stored_record &record) {
+            return record.key.starts_with("evacuate/")
+                ? std::optional(zone_request {record.key.substr(9), !record.value.empty()})
+                : std::nullopt;
+        });
         siteProcess->node->onDecision = recordDecisionsOf(name);
         entries[name] = siteProcess;
         drive(siteProcess);
@@ -411,7 +416,7 @@
         worker_description description;
         description.worker = absl::StrCat("worker-", number);
         description.service = "service";
-        description.zone = "zone";
+        description.zone = absl::StrCat("zone-", number % 3);
         description.kind = "a";
         description.rack = absl::StrCat("rack-", number / 3);
         description.labels = {"a", description.rack};
