Placement takes the speed of workers into account

Gangs run at the pace of their slowest member, and best fit spread small gangs over the leftovers of many workers, so that urgent work ended late on fast and slow workers alike. A unit whose time is short now takes fast workers first, patient work takes slow ones, and workers on which the unit would end too late come last; among equally fast workers the tightest fit still counts.

--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -50,6 +50,7 @@
     bool silent = false; ///< its agent sends no heartbeats
     bool evicted = false;
     bool evacuated = false; ///< its zone is evacuated
+    double slowness = 1.0;  ///< run times as a multiple of those on a worker of mean speed
     /// Active runs with members here, as indexes among those of the plan, and the number of these
     /// members.
     std::vector<std::pair<std::size_t, std::uint32_t>> runs;
@@ -75,7 +76,9 @@
     unix_ms latestStartMs = 0;
     std::uint32_t members = 1;
     std::int64_t expectedMs = 0; ///< run time on a worker of mean speed near the data
-    bool guaranteed = false;     ///< urgent, and its team's guarantee covers it
+    /// Slowest worker on which the unit still ends in time or, if late, before it is of no use.
+    double maxSlowness = 1.0;
+    bool guaranteed = false; ///< urgent, and its team's guarantee covers it
 };
 
 /// Makes the plans. Between plans it keeps only learned run times, quarantines and claims.
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -155,6 +155,7 @@
             = quarantine != scheduler.m_quarantines.end() && quarantine->second.until > input.now;
         worker.silent = input.silent.contains(agent);
         worker.evicted = input.state->isEvicted(agent);
+        worker.slowness = times.slownessOf(agent);
         worker.evacuated = input.evacuatedZones.contains(announced.worker.zone);
         const auto rack = std::find(racks.begin(), racks.end(), announced.worker.rack);
         worker.rack = static_cast<std::size_t>(rack - racks.begin());
@@ -284,6 +285,9 @@
                 if (unit.latestStartMs < input.nowMs)
                     unit.lateness = 2;
             }
+            unit.maxSlowness
+                = static_cast<double>(unit.latestStartMs + unit.expectedMs - input.nowMs)
+                / static_cast<double>(std::max<std::int64_t>(1, unit.expectedMs));
             for (std::uint32_t unitIndex = 0; unitIndex < occurrence.steps[stepIndex].units.size();
                  ++unitIndex) {
                 const unit_state &state = occurrence.steps[stepIndex].units[unitIndex];
--- a/src/batch/plan_fit.cpp
+++ b/src/batch/plan_fit.cpp
@@ -2,10 +2,27 @@
 #include "plan_maker.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
+#include <utility>
 
 namespace hyssoppond::batch {
 
+namespace {
+
+/// Workers whose slowness differs by less than this, as a logarithm, count as equally fast: fitting
+/// tightly is worth more than a smaller difference.
+constexpr double SpeedStep = 0.3;
+
+/// More than the speed steps between any two workers.
+constexpr int MaxSpeedSteps = 1'000;
+
+/// A unit that ends in time on workers that are slower than this goes to slow workers first, so
+/// that the fast ones stay free for units that need them.
+constexpr double PatientSlowness = 2.0;
+
+} // namespace
+
 std::uint32_t plan_maker::capacityFor(const waiting_unit &unit, const worker_availability &worker,
                                       const resources &available) const
 {
@@ -47,6 +64,22 @@
     return entry->second;
 }
 
+int plan_maker::speedRank(const waiting_unit &unit, const worker_availability &worker)
+{
+    const int step = static_cast<int>(std::lround(std::log(worker.slowness) / SpeedStep));
+    if (worker.slowness > unit.maxSlowness)
+        return MaxSpeedSteps + step; // it would end too late there
+    return unit.maxSlowness > PatientSlowness ? -step : step;
+}
+
+double plan_maker::slownessOf(const std::vector<std::size_t> &chosen) const
+{
+    double slowest = 0;
+    for (const std::size_t worker : chosen)
+        slowest = std::max(slowest, workers[worker].slowness);
+    return slowest;
+}
+
 std::vector<std::size_t> plan_maker::fit(const waiting_unit &unit, const worker_filter &accept,
                                          const resource_measure &available) const
 {
@@ -54,6 +87,7 @@
     {
         std::size_t worker;
         std::uint32_t capacity;
+        int speedRank;
         resources available;
     };
     std::vector<candidate> candidates;
@@ -65,7 +99,7 @@
         const std::uint32_t capacity = capacityFor(unit, workers[i], free);
         if (capacity == 0)
             continue;
-        candidates.push_back({i, capacity, free});
+        candidates.push_back({i, capacity, speedRank(unit, workers[i]), free});
         total += capacity;
     }
     if (total < unit.members)
@@ -74,6 +108,8 @@
     // for items that need all accelerators of one.
     std::stable_sort(candidates.begin(), candidates.end(),
                      [](const candidate &a, const candidate &b) {
+                         if (a.speedRank != b.speedRank)
+                             return a.speedRank < b.speedRank;
                          if (a.available.accelerators != b.available.accelerators)
                              return a.available.accelerators < b.available.accelerators;
                          return a.available.cpuMilli < b.available.cpuMilli;
@@ -116,16 +152,20 @@
     for (const worker_availability &worker : workers)
         freeInRack[worker.rack] += available(worker).accelerators;
     std::vector<std::size_t> best;
-    std::int64_t fewestFree = std::numeric_limits<std::int64_t>::max();
+    std::pair<int, std::int64_t> bestRank {std::numeric_limits<int>::max(), 0};
     for (const std::size_t rack : candidateRacks(unit)) {
-        if (freeInRack[rack] >= fewestFree)
-            continue;
         const std::vector<std::size_t> chosen = fit(
             unit, [rack](const worker_availability &worker) { return worker.rack == rack; },
             available);
         if (chosen.empty())
             continue;
-        fewestFree = freeInRack[rack];
+        int slowestRank = std::numeric_limits<int>::min();
+        for (const std::size_t worker : chosen)
+            slowestRank = std::max(slowestRank, speedRank(unit, workers[worker]));
+        const std::pair<int, std::int64_t> rank {slowestRank, freeInRack[rack]};
+        if (rank >= bestRank)
+            continue;
+        bestRank = rank;
         best = chosen;
     }
     return best;
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -104,12 +104,17 @@
     /// unit.
     std::uint32_t capacityFor(const waiting_unit &unit, const worker_availability &worker,
                               const resources &available) const;
+    /// Place of a worker in the order in which `unit` takes workers, by speed; lower is earlier.
+    static int speedRank(const waiting_unit &unit, const worker_availability &worker);
+    /// Slowness of the slowest of the workers `chosen`.
+    double slownessOf(const std::vector<std::size_t> &chosen) const;
     /// Indexes in `workers` for the members of `unit`, one for each member; empty if they do not
     /// fit. Uses only workers that `accept` lets through, with the resources that `available`
     /// gives.
     std::vector<std::size_t> fit(const waiting_unit &unit, const worker_filter &accept,
                                  const resource_measure &available) const;
-    /// As fit(), with all members in one rack: the one that has the fewest accelerators available.
+    /// As fit(), with all members in one rack: the one whose workers suit the unit best by speed
+    /// and, among equals, that has the fewest accelerators available.
     std::vector<std::size_t> fitInOneRack(const waiting_unit &unit,
                                           const resource_measure &available) const;
     /// The rack of the unit's data, or all racks if its data are in none; indexes in `racks`.
