--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -67,6 +67,7 @@
     void onReloaded()
     {
         m_reloading = false;
+        m_scheduler.learnReplayed(*m_state);
         m_planDue = true;
     }
     /// To be called after records were applied to the state.
--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -86,10 +86,13 @@
         : m_options(options)
     { }
 
-    /// Learns from the run time of an item that has ended.
+    /// Learns from the run time of an item or gang that has ended.
     void learn(const ended_member &ended, const batch_state &state);
     /// Drops the learned run times before the journal is replayed, which teaches them again.
-    void forgetRunTimes() { m_times = {}; }
+    void forgetRunTimes();
+    /// Learns from the runs that ended in the replay, in the order of the records. The racks of
+    /// their workers are known only then, as an announcement is stored behind earlier ends.
+    void learnReplayed(const batch_state &state);
     /// Sets or ends the quarantine of a worker according to the end of a run on it.
     void observe(const ended_member &ended, const batch_state &state, absl::Time now);
     /// Decisions that are due, in the order in which they are to be recorded.
@@ -104,11 +107,23 @@
         std::uint32_t failures = 0; ///< consecutive failed runs
     };
 
+    /// A run whose time is known: of an item, or of a gang as a whole.
+    struct learnable_run
+    {
+        unit_id unit;
+        std::int64_t runTimeMs = 0;
+        std::vector<process_id> agents;
+    };
+
+    void learnRun(const learnable_run &run, const batch_state &state);
+
     friend struct plan_maker;
 
     scheduler_options m_options;
     std::map<process_id, quarantine_entry> m_quarantines;
     item_time_model m_times;
+    bool m_isReplaying = false;
+    std::vector<learnable_run> m_replayedRuns; ///< of the present replay, not learned yet
     /// Workers that are being cleared for an urgent unit, one entry for each member.
     std::map<unit_id, std::vector<process_id>> m_claims;
 };
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -38,26 +38,59 @@
 
 void batch_scheduler::learn(const ended_member &ended, const batch_state &state)
 {
-    // Later runs of a unit may continue from a checkpoint, and the members of a gang end together,
-    // so only the first member of the first run counts.
-    const bool isRepresentative = ended.how == run_end::Done && ended.runTimeMs > 0
-        && ended.run == 1 && ended.member.index == ended.unit.index;
+    // Later runs of a unit may continue from a checkpoint.
     const job_state *job = state.find(ended.unit.job);
-    if (!isRepresentative || job == nullptr)
+    if (ended.how != run_end::Done || ended.runTimeMs < 1 || ended.run != 1 || job == nullptr)
         return;
-    const batch_step &step = job->job.steps[ended.unit.step];
-    const auto rackOf = [&state](const process_id &agent) {
-        const auto known = state.agents().find(agent);
-        return known == state.agents().end() ? std::string() : known->second.worker.rack;
-    };
-    const std::string rack = rackOf(ended.member.agent);
     const auto &members = state.findUnit(ended.unit)->active->members;
-    const bool spansRacks = step.sameRack
-        && std::any_of(members.begin(), members.end(),
-                       [&](const member_state &one) { return rackOf(one.member.agent) != rack; });
-    if (spansRacks || (!step.dataRack.empty() && step.dataRack != rack))
-        return; // the run was slower by the remote factor
-    m_times.learn(job->job.queue, step.estimateMs, ended.runTimeMs, ended.member.agent);
+    // The members of a gang end together, so only the first end of a run counts.
+    const auto done = std::count_if(members.begin(), members.end(), [](const member_state &one) {
+        return one.end == run_end::Done;
+    });
+    if (done != 1)
+        return;
+    learnable_run run {ended.unit, ended.runTimeMs, {}};
+    for (const member_state &one : members)
+        run.agents.push_back(one.member.agent);
+    if (m_isReplaying)
+        m_replayedRuns.push_back(std::move(run));
+    else
+        learnRun(run, state);
+}
+
+void batch_scheduler::learnRun(const learnable_run &run, const batch_state &state)
+{
+    const job_state &job = *state.find(run.unit.job);
+    const batch_step &step = job.job.steps[run.unit.step];
+    finished_run finished {job.job.queue, step.estimateMs, run.runTimeMs, run.unit, {}};
+    std::string rack;
+    for (const process_id &agent : run.agents) {
+        const auto known = state.agents().find(agent);
+        const worker_description worker
+            = known == state.agents().end() ? worker_description() : known->second.worker;
+        const bool isFarFromData = !step.dataRack.empty() && step.dataRack != worker.rack;
+        const bool spansRacks = step.sameRack && !finished.members.empty() && worker.rack != rack;
+        if (isFarFromData || spansRacks)
+            return; // the run was slower by the remote factor
+        rack = worker.rack;
+        finished.members.push_back({agent, worker.kind});
+    }
+    m_times.learn(finished);
+}
+
+void batch_scheduler::forgetRunTimes()
+{
+    m_times = {};
+    m_replayedRuns.clear();
+    m_isReplaying = true;
+}
+
+void batch_scheduler::learnReplayed(const batch_state &state)
+{
+    m_isReplaying = false;
+    for (const learnable_run &run : m_replayedRuns)
+        learnRun(run, state);
+    m_replayedRuns.clear();
 }
 
 void batch_scheduler::observe(const ended_member &ended, const batch_state &state, absl::Time now)
