Run time quantiles, teams' declarations, and speeds learned from progress

Typical run times were a mean, which the 3 % of runs that take 7 times as long move, and one team's wrong declarations moved the times of all teams of a queue.

run_time_distribution keeps a decaying histogram of the run times over those predicted, so that expectedMs is the median and takes a quantile. Each team's declarations are corrected by how far they are off more than those of its queue, with shrinkage, before they enter the queue's regression; expectedMs takes the team, which the scheduler now passes.

An agent derives the total time of a run from its progress after two looks and 15 percent, and gives it once with a heartbeat, again only when it has changed by a third or the heartbeat was lost; it polls the worker no more often. The decider counts it as an observation with more noise, which the end of the run takes back. Heartbeats without such an entry are encoded as before.

The decider logs "worker speed changed" when an estimate moved by a factor of 1.4, at most 4 lines a second.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -95,6 +95,9 @@
         int percent = 0;       ///< progress that the worker lists
         absl::Time progressAt; ///< of the start or the last progress
         std::uint32_t startAttempts = 0;
+        std::uint32_t progressLooks = 0;   ///< lists of the worker that showed progress
+        std::uint32_t progressReports = 0; ///< heartbeats that gave its expected time
+        std::int64_t reportedMs = 0;       ///< expected time in the last of them
     };
 
     /// Drops the orders for other incarnations of the worker. They are void once the present one
@@ -131,6 +134,10 @@
     void retire(const char *why);
     void announce();
     void sendHeartbeat();
+    /// Expected times of runs that the next heartbeat is to give.
+    std::vector<run_progress> takeProgress();
+    /// Lets the runs of a lost heartbeat be reported again.
+    void returnProgress(const std::vector<run_progress> &lost);
     /// Sends the next heartbeat as soon as it may be, as leases depend on the last stored one.
     void hastenHeartbeat();
     absl::Duration nextHeartbeatInterval() const;
--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -150,6 +150,7 @@
     bool isEvacuationUnknown() const;
     plan_input planInput() const;
     void plan();
+    void logChangedSpeeds();
     void record(const std::vector<plan_decision> &decisions);
     /// Adds the agents that have to act on `decision` to `agents`.
     void collectAffectedAgents(const batch_record &decision, std::set<process_id> *agents) const;
@@ -184,6 +185,7 @@
     std::vector<std::unique_ptr<log_writer>> m_retiredWriters;
     bool m_recording = false;
     bool m_reloading = false; ///< the journal is being applied from the newest record of each key
+    absl::Time m_nextSpeedLogAt = absl::InfinitePast();
     std::uint64_t m_recordedTo = 0; ///< offset after the newest record of this decider
     bool m_planDue = false;
     std::uint64_t m_jobsOver = 0; ///< batch_state::jobsOver() when the entries were last woken
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -256,6 +256,22 @@
 /// Value of agent_heartbeat::storedOffset while no heartbeat of the process was answered.
 inline constexpr std::uint64_t NoHeartbeatStored = std::numeric_limits<std::uint64_t>::max();
 
+/// Expected time of a run that goes on, by the progress that its worker lists.
+struct run_progress
+{
+    unit_id unit;
+    std::uint32_t run = 0;
+    std::int64_t expectedMs = 0; ///< from the start to the end
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(unit, run, expectedMs);
+    }
+};
+
+/// Most entries of agent_heartbeat::progress.
+inline constexpr std::size_t MaxProgressEntries = 16;
+
 /// An agent is alive. Stored in a topic apart from the journal, which only the decider reads.
 struct agent_heartbeat
 {
@@ -268,18 +284,24 @@
     /// Offset of the last earlier heartbeat of the process that the store has answered.
     std::uint64_t storedOffset = NoHeartbeatStored;
     std::int64_t storedUs = 0; ///< when the store's answer to it was received
+    std::vector<run_progress> progress;
     template<class archive>
     void save(archive &ar) const
     {
         ar(agent, workerStartMs, stalled, sender, sentUs, storedOffset, storedUs);
+        // Left out if it is empty: deciders of earlier versions refuse heartbeats with it.
+        if (!progress.empty())
+            ar(progress);
     }
-    /// Heartbeats of earlier versions end before sender.
+    /// Heartbeats of earlier versions end before sender or progress.
     template<class archive>
     void load(archive &ar)
     {
         ar(agent, workerStartMs, stalled);
         if (ar.remaining() != 0)
             ar(sender, sentUs, storedOffset, storedUs);
+        if (ar.remaining() != 0)
+            ar(progress);
     }
 };
 
--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -88,11 +88,17 @@
 
     /// Learns from the run time of an item or gang that has ended.
     void learn(const ended_member &ended, const batch_state &state);
+    /// Learns from the progress of a run that goes on. Its end replaces that later.
+    void learnProgress(const run_progress &progress, const batch_state &state);
     /// Drops the learned run times before the journal is replayed, which teaches them again.
     void forgetRunTimes();
     /// Learns from the runs that ended in the replay, in the order of the records. The racks of
     /// their workers are known only then, as an announcement is stored behind earlier ends.
     void learnReplayed(const batch_state &state);
+    /// At most `limit` workers whose speed changed notably and was not taken yet, for the log.
+    std::vector<std::pair<process_id, speed_estimate>> takeChangedSpeeds(std::size_t limit);
+    /// Learned run times and speeds.
+    const item_time_model &times() const { return m_times; }
     /// Sets or ends the quarantine of a worker according to the end of a run on it.
     void observe(const ended_member &ended, const batch_state &state, absl::Time now);
     /// Decisions that are due, in the order in which they are to be recorded.
@@ -115,13 +121,14 @@
         std::vector<process_id> agents;
     };
 
-    void learnRun(const learnable_run &run, const batch_state &state);
+    void learnRun(const learnable_run &run, const batch_state &state, bool isProgress = false);
 
     friend struct plan_maker;
 
     scheduler_options m_options;
     std::map<process_id, quarantine_entry> m_quarantines;
     item_time_model m_times;
+    std::set<process_id> m_changedSpeeds;
     bool m_isReplaying = false;
     std::vector<learnable_run> m_replayedRuns; ///< of the present replay, not learned yet
     /// Workers that are being cleared for an urgent unit, one entry for each member.
--- a/include/hyssoppond/batch/worker_speed_model_base.h
+++ b/include/hyssoppond/batch/worker_speed_model_base.h
@@ -23,20 +23,23 @@
 /// Run time of an item, or of a gang, which runs at the pace of its slowest member.
 struct speed_observation
 {
-    /// Step of the run; its items are alike. Its index is not used. Empty: a step of its own.
+    /// Unit of the run; the items of its step are alike. Empty: a step of its own.
     std::optional<unit_id> step;
     double logPredicted = 0; ///< logarithm of the run time that is predicted at mean speed
     double levelSpread = 0;  ///< standard deviation of a step's logarithm about it
     double logRunTime = 0;
+    /// The run time is an estimate by the progress of the run. The next observation of the unit
+    /// replaces it.
+    bool isProgress = false;
     std::vector<speed_member> members;
 };
 
 /// What an observation tells about its step.
 struct step_evidence
 {
-    double logAtMeanSpeed = 0;             ///< logarithm of the run time on a worker of mean speed
-    std::uint32_t earlierRuns = 0;         ///< observations of the step before this one
-    const speed_member *changed = nullptr; ///< member whose estimate changed notably, if any
+    double logAtMeanSpeed = 0;       ///< logarithm of the run time on a worker of mean speed
+    std::uint32_t earlierRuns = 0;   ///< observations of the step before this one
+    std::vector<process_id> changed; ///< workers whose estimate changed notably
 };
 
 struct speed_estimate
@@ -88,20 +91,23 @@
         std::optional<unit_id> lastStep;
         double reported = 0; ///< logarithm of the slowness that was last reported as changed
     };
-    /// Run of a single item, which later items of its step show in a new light.
+    /// What one worker and its step got from a run. Later items of the step show it in a new light.
     struct item_evidence
     {
         worker_state *worker = nullptr;
         double logRunTime = 0;
         slowness_distribution toWorker {}; ///< likelihood that the worker got from it
         level_distribution toLevel {};     ///< likelihood that the step's level got from it
+        std::uint32_t index = 0;           ///< of the unit
+        bool isProgress = false;
+        bool isGang = false; ///< its members share one run; never revised
     };
     struct step_estimate
     {
         double center = 0; ///< logarithm of the run time in the middle of the grid
         level_distribution probability {};
         std::uint32_t observations = 0;
-        std::vector<item_evidence> items; ///< the first ones
+        std::vector<item_evidence> items; ///< the first ones, and all that are estimates
     };
     /// The workers of one kind.
     struct population
@@ -140,6 +146,8 @@
     void refreshSome(const std::string &kind);
     /// Corrects what the earlier items of the step said of their workers.
     void reviseItems(step_estimate *step);
+    /// Takes back what the progress of the unit `index` has taught. False if it has taught nothing.
+    bool takeBack(step_estimate *step, std::uint32_t index);
     double averageLog() const;
     static const slowness_distribution &basePrior();
     static double varianceOf(const slowness_distribution &probability);
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -260,6 +260,7 @@
         content.storedOffset = m_storedHeartbeat;
         content.storedUs = absl::ToInt64Microseconds(m_heartbeatAnsweredAt - m_startedAt);
     }
+    content.progress = takeProgress();
     append_request request;
     request.topic = m_options.heartbeatTopic;
     request.records.push_back({"", encodeAgentHeartbeat(content), 0});
@@ -270,18 +271,21 @@
     request.urgent = true;
     ++m_unansweredHeartbeats;
     // A lost heartbeat is not repeated; the next one replaces it.
-    m_store->append(std::move(request),
-                    [this, sentAt = m_hooks.now()](const append_answer &answer) {
-                        if (answer.outcome != store_outcome::Ok)
-                            return;
-                        m_heartbeatStoredAt = std::max(m_heartbeatStoredAt, sentAt);
-                        m_unansweredHeartbeats = 0;
-                        // Only a heartbeat that names an earlier one tells when it was sent.
-                        if (m_storedHeartbeat == NoHeartbeatStored)
-                            m_heartbeatAt = m_hooks.now();
-                        m_storedHeartbeat = answer.offset;
-                        m_heartbeatAnsweredAt = m_hooks.now();
-                    });
+    m_store->append(
+        std::move(request),
+        [this, sentAt = m_hooks.now(), progress = content.progress](const append_answer &answer) {
+            if (answer.outcome != store_outcome::Ok) {
+                returnProgress(progress);
+                return;
+            }
+            m_heartbeatStoredAt = std::max(m_heartbeatStoredAt, sentAt);
+            m_unansweredHeartbeats = 0;
+            // Only a heartbeat that names an earlier one tells when it was sent.
+            if (m_storedHeartbeat == NoHeartbeatStored)
+                m_heartbeatAt = m_hooks.now();
+            m_storedHeartbeat = answer.offset;
+            m_heartbeatAnsweredAt = m_hooks.now();
+        });
 }
 
 std::vector<std::string> batch_agent::entryAddresses() const
--- a/src/batch/batch_agent_poll.cpp
+++ b/src/batch/batch_agent_poll.cpp
@@ -207,6 +207,8 @@
             run.unwanted = true;
             hasStrayRuns = true;
         }
+        if (runningItem.percent > 0)
+            ++run.progressLooks;
         if (runningItem.percent != run.percent) {
             run.percent = runningItem.percent;
             run.progressAt = now;
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -3,6 +3,7 @@
 #include "hyssoppond/batch/lease_rule_func.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 
 #include <algorithm>
 #include <iterator>
@@ -66,6 +67,11 @@
 /// processor time still reads the journal and keeps its membership.
 constexpr double PlanPauseFactor = 2.0;
 
+/// Lines about the speed of workers are logged at this interval, at most so many at a time: after
+/// a start the speed of each worker of a large site becomes known within seconds.
+constexpr absl::Duration SpeedLogInterval = absl::Seconds(1);
+constexpr std::size_t MaxSpeedLines = 4;
+
 /// Timeout for recording a grant. If it is not in the journal by then, the entry steps down.
 constexpr absl::Duration RecordTimeout = absl::Seconds(5);
 
@@ -382,6 +388,8 @@
             watch.heartbeatReadAt = now;
         const absl::Time sentAfter = m_heartbeatAges.sentAfter(*heartbeat, stored.offset);
         watch.livedAt = std::max(watch.livedAt, std::min(sentAfter, now));
+        for (const run_progress &progress : heartbeat->progress)
+            m_scheduler.learnProgress(progress, *m_state);
     }
     m_heartbeatAges.noteRead(sentAt, answer.end);
     const bool isComplete = m_heartbeatPosition >= answer.end;
@@ -524,6 +532,7 @@
         std::vector<plan_decision> planned = m_scheduler.plan(input);
         std::move(planned.begin(), planned.end(), std::back_inserter(decisions));
     }
+    logChangedSpeeds();
     m_nextPlanAt = m_scheduler.nextDeadline(input);
     const absl::Time plannedAt = m_hooks.now();
     m_planAllowedAt = plannedAt + (plannedAt - input.now) * PlanPauseFactor;
@@ -531,6 +540,18 @@
         record(decisions);
 }
 
+void batch_decider::logChangedSpeeds()
+{
+    if (m_hooks.now() < m_nextSpeedLogAt)
+        return;
+    m_nextSpeedLogAt = m_hooks.now() + SpeedLogInterval;
+    for (const auto &[worker, speed] : m_scheduler.takeChangedSpeeds(MaxSpeedLines))
+        logDecision("worker speed changed", worker.str(),
+                    absl::StrFormat("runs take %.2f times as long as at mean speed, spread %.2f, "
+                                    "by %.1f runs",
+                                    speed.slowness, speed.logSpread, speed.observations));
+}
+
 void batch_decider::record(const std::vector<plan_decision> &decisions)
 {
     std::vector<stored_record> records;
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -30,7 +30,7 @@
         std::int64_t start = 0;
         for (const std::uint32_t dependency : job.steps[i].dependsOn)
             start = std::max(start, endMs[dependency]);
-        endMs[i] = start + times.expectedMs(job.queue, job.steps[i].estimateMs);
+        endMs[i] = start + times.expectedMs(job.queue, job.steps[i].estimateMs, job.team);
         longest = std::max(longest, endMs[i]);
     }
     return longest;
@@ -58,11 +58,27 @@
         learnRun(run, state);
 }
 
-void batch_scheduler::learnRun(const learnable_run &run, const batch_state &state)
+void batch_scheduler::learnProgress(const run_progress &progress, const batch_state &state)
+{
+    const unit_state *unit = state.findUnit(progress.unit);
+    if (progress.run != 1 || progress.expectedMs < 1 || unit == nullptr || !unit->active
+        || unit->active->run != progress.run)
+        return;
+    learnable_run run {progress.unit, progress.expectedMs, {}};
+    for (const member_state &one : unit->active->members) {
+        if (one.end)
+            return; // the end was learned, or the run is broken
+        run.agents.push_back(one.member.agent);
+    }
+    learnRun(run, state, true);
+}
+
+void batch_scheduler::learnRun(const learnable_run &run, const batch_state &state, bool isProgress)
 {
     const job_state &job = *state.find(run.unit.job);
     const batch_step &step = job.job.steps[run.unit.step];
-    finished_run finished {job.job.queue, step.estimateMs, run.runTimeMs, run.unit, {}};
+    finished_run finished {job.job.queue, step.estimateMs, run.runTimeMs, run.unit, {},
+                           job.job.team};
     std::string rack;
     for (const process_id &agent : run.agents) {
         const auto known = state.agents().find(agent);
@@ -75,16 +91,31 @@
         rack = worker.rack;
         finished.members.push_back({agent, worker.kind});
     }
-    m_times.learn(finished);
+    const step_evidence evidence
+        = isProgress ? m_times.learnProgress(finished) : m_times.learn(finished);
+    m_changedSpeeds.insert(evidence.changed.begin(), evidence.changed.end());
 }
 
 void batch_scheduler::forgetRunTimes()
 {
     m_times = {};
+    m_changedSpeeds.clear();
     m_replayedRuns.clear();
     m_isReplaying = true;
 }
 
+std::vector<std::pair<process_id, speed_estimate>> batch_scheduler::takeChangedSpeeds(
+    std::size_t limit)
+{
+    std::vector<std::pair<process_id, speed_estimate>> changes;
+    while (!m_changedSpeeds.empty() && changes.size() < limit) {
+        const process_id worker = *m_changedSpeeds.begin();
+        m_changedSpeeds.erase(m_changedSpeeds.begin());
+        changes.emplace_back(worker, m_times.speeds().estimateOf(worker));
+    }
+    return changes;
+}
+
 void batch_scheduler::learnReplayed(const batch_state &state)
 {
     m_isReplaying = false;
@@ -267,7 +298,8 @@
             // work is lost, and starts again elsewhere.
             const unix_ms expectedEndMs = run.state->orderedMs
                 + times.expectedMs(run.job->job.queue,
-                                   run.job->job.steps[run.unit->step].estimateMs);
+                                   run.job->job.steps[run.unit->step].estimateMs,
+                                   run.job->job.team);
             const unix_ms workerLeavesMs = workers[found->second].description->earliestLeaveMs;
             outlivesWorker
                 = outlivesWorker || (workerLeavesMs != 0 && expectedEndMs > workerLeavesMs);
@@ -307,7 +339,7 @@
             unit.step = &step;
             unit.queue = queue;
             unit.members = step.gang ? step.count : 1;
-            unit.expectedMs = times.expectedMs(queue->name, step.estimateMs);
+            unit.expectedMs = times.expectedMs(queue->name, step.estimateMs, job.job.team);
             unit.guaranteed = queue->priority == 0 && isGuaranteed(unit);
             unit.latestStartMs = dueMs + objectiveMs - remainingMs;
             if (unit.latestStartMs < input.nowMs) {
--- a/src/batch/worker_speed_model.cpp
+++ b/src/batch/worker_speed_model.cpp
@@ -1,6 +1,8 @@
 /// @file Implementation of the worker speed model.
 #include "hyssoppond/batch/worker_speed_model_base.h"
 
+#include "grid_distribution_func.h"
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -9,13 +11,12 @@
 
 namespace {
 
-/// Distance of two points of the grids, in logarithms of run times. It is below the noise of one
-/// run. Both grids have the same, so that the likelihood depends on the sum of two indexes only.
-constexpr double GridStep = 0.15;
-
 /// Standard deviation of the logarithm of an item's run time at a given level and slowness.
 constexpr double NoiseSpread = 0.2;
 
+/// The same for a run time that is estimated by the progress of the run.
+constexpr double ProgressSpread = 0.3;
+
 /// Share of runs that take much longer than others of their step, and the distribution of their
 /// excess. It covers factors from about 2 to 10.
 constexpr double LongShare = 0.04;
@@ -67,74 +68,20 @@
 /// Change of the logarithm of the slowness that is reported: a factor of about 1.4.
 constexpr double NotableChange = 0.33;
 
-double density(double distance, double spread)
-{
-    const double scaled = distance / spread;
-    return std::exp(-0.5 * scaled * scaled) / spread;
-}
-
-double pointAt(std::size_t index, std::size_t points)
-{
-    return GridStep * (static_cast<double>(index) - static_cast<double>(points / 2));
-}
-
-/// Returns the sum before.
-template<std::size_t points>
-double normalize(std::array<double, points> *probability)
-{
-    const double sum = std::accumulate(probability->begin(), probability->end(), 0.0);
-    for (double &value : *probability)
-        value /= sum;
-    return sum;
-}
-
-template<std::size_t points>
-std::array<double, points> bellCurve(double spread)
-{
-    std::array<double, points> probability {};
-    for (std::size_t i = 0; i < points; ++i)
-        probability[i] = density(pointAt(i, points), spread);
-    normalize(&probability);
-    return probability;
-}
-
-/// P(slowness <= point) for each point.
-template<std::size_t points>
-std::array<double, points> cumulative(const std::array<double, points> &probability)
-{
-    std::array<double, points> sums {};
-    std::partial_sum(probability.begin(), probability.end(), sums.begin());
-    return sums;
-}
-
 /// Likelihood of a run time at `distance` from the middle of both grids for each sum of the indexes
 /// of level and slowness.
 template<std::size_t points>
-std::array<double, points> likelihoodOfSums(double distance, double longShare)
+std::array<double, points> likelihoodOfSums(double distance, double longShare, double noise)
 {
     std::array<double, points> likelihood {};
     for (std::size_t i = 0; i < points; ++i) {
         const double rest = distance - pointAt(i, points);
-        likelihood[i] = (1.0 - longShare) * density(rest, NoiseSpread)
+        likelihood[i] = (1.0 - longShare) * density(rest, noise)
             + longShare * density(rest - LongMean, LongSpread) + MinLikelihood;
     }
     return likelihood;
 }
 
-/// Likelihood of each index on one grid, with that on the other grid summed out.
-template<std::size_t points, std::size_t otherPoints, std::size_t sums>
-std::array<double, points> marginal(const std::array<double, otherPoints> &other,
-                                    const std::array<double, sums> &likelihood)
-{
-    static_assert(sums == points + otherPoints - 1);
-    std::array<double, points> result {};
-    for (std::size_t i = 0; i < points; ++i) {
-        for (std::size_t j = 0; j < otherPoints; ++j)
-            result[i] += other[j] * likelihood[i + j];
-    }
-    return result;
-}
-
 /// The likelihood relative to its highest value, as far as it survives the prior that is mixed in
 /// afterwards. It can then be divided out again.
 template<std::size_t points>
@@ -193,8 +140,8 @@
 
 const worker_speed_model::slowness_distribution &worker_speed_model::basePrior()
 {
-    static const slowness_distribution Base = bellCurve<SlownessPoints>(BaseSpread);
-    return Base;
+    static const slowness_distribution base = bellCurve<SlownessPoints>(BaseSpread);
+    return base;
 }
 
 worker_speed_model::slowness_distribution worker_speed_model::priorOf(
@@ -235,8 +182,8 @@
     normalize(&alone);
     // A worker of which little is known must not confirm the prior from which its distribution
     // comes.
-    static const double BaseVariance = varianceOf(basePrior());
-    const double weight = std::clamp(1.0 - varianceOf(alone) / BaseVariance, 0.0, 1.0);
+    static const double baseVariance = varianceOf(basePrior());
+    const double weight = std::clamp(1.0 - varianceOf(alone) / baseVariance, 0.0, 1.0);
     for (std::size_t i = 0; i < SlownessPoints; ++i) {
         workers.sum[i] += weight * updated[i] - worker->weight * worker->probability[i];
         worker->likelihood[i] /= sum;
@@ -330,12 +277,16 @@
 void worker_speed_model::reviseItems(step_estimate *step)
 {
     for (item_evidence &item : step->items) {
+        if (item.isGang)
+            continue;
         level_distribution others = step->probability;
         for (std::size_t l = 0; l < LevelPoints; ++l)
             others[l] /= item.toLevel[l];
         normalize(&others);
         const slowness_distribution revised = bounded(marginal<SlownessPoints>(
-            others, likelihoodOfSums<SumPoints>(item.logRunTime - step->center, LongShare)));
+            others,
+            likelihoodOfSums<SumPoints>(item.logRunTime - step->center, LongShare,
+                                        item.isProgress ? ProgressSpread : NoiseSpread)));
         for (std::size_t k = 0; k < SlownessPoints; ++k)
             item.worker->likelihood[k] *= revised[k] / item.toWorker[k];
         item.toWorker = revised;
@@ -343,6 +294,29 @@
     }
 }
 
+bool worker_speed_model::takeBack(step_estimate *step, std::uint32_t index)
+{
+    const auto isTakenBack
+        = [index](const item_evidence &item) { return item.isProgress && item.index == index; };
+    bool isKnown = false;
+    for (const item_evidence &item : step->items) {
+        if (!isTakenBack(item))
+            continue;
+        for (std::size_t k = 0; k < SlownessPoints; ++k)
+            item.worker->likelihood[k] /= item.toWorker[k];
+        refresh(item.worker);
+        for (std::size_t l = 0; l < LevelPoints && !isKnown; ++l)
+            step->probability[l] /= item.toLevel[l];
+        isKnown = true;
+    }
+    if (!isKnown)
+        return false;
+    normalize(&step->probability);
+    --step->observations;
+    std::erase_if(step->items, isTakenBack);
+    return true;
+}
+
 step_evidence worker_speed_model::learn(const speed_observation &observation)
 {
     std::vector<worker_state *> workers;
@@ -359,15 +333,19 @@
     }
     step_estimate temporary;
     step_estimate &step = stepOf(observation, &temporary);
-    step_evidence evidence {observation.logRunTime, step.observations, nullptr};
+    const std::uint32_t index = observation.step ? observation.step->index : 0;
+    const bool isKnown = takeBack(&step, index);
+    step_evidence evidence {observation.logRunTime, step.observations, {}};
     if (workers.empty())
         return evidence;
-    noteResidual(observation, step, workers);
+    if (!isKnown)
+        noteResidual(observation, step, workers);
 
+    const double noise = observation.isProgress ? ProgressSpread : NoiseSpread;
     const double longShare = std::min(
         MaxLongShare, 1.0 - std::pow(1.0 - LongShare, static_cast<double>(workers.size())));
     const auto likelihood
-        = likelihoodOfSums<SumPoints>(observation.logRunTime - step.center, longShare);
+        = likelihoodOfSums<SumPoints>(observation.logRunTime - step.center, longShare, noise);
     const slowness_distribution ofSlowest = marginal<SlownessPoints>(step.probability, likelihood);
     // P(slowness of all members <= point), of those before and after each member.
     std::vector<slowness_distribution> before(workers.size() + 1);
@@ -389,6 +367,7 @@
 
     const level_distribution toLevel = marginal<LevelPoints>(slowest, likelihood);
     slowness_distribution toWorker {};
+    std::vector<item_evidence> estimates;
     for (std::size_t i = 0; i < workers.size(); ++i) {
         double slowerOther = 0; // likelihood with another member that is slower than point j
         for (std::size_t j = SlownessPoints; j-- > 0;) {
@@ -396,8 +375,13 @@
             const double othersBelow = j == 0 ? 0 : before[i][j - 1] * after[i + 1][j - 1];
             toWorker[j] = ofSlowest[j] * others + slowerOther;
             slowerOther += ofSlowest[j] * (others - othersBelow);
-            workers[i]->likelihood[j] *= toWorker[j];
         }
+        const slowness_distribution kept = observation.isProgress ? bounded(toWorker) : toWorker;
+        for (std::size_t j = 0; j < SlownessPoints; ++j)
+            workers[i]->likelihood[j] *= kept[j];
+        if (observation.isProgress && observation.step)
+            estimates.push_back({workers[i], observation.logRunTime, kept, toLevel, index, true,
+                                 workers.size() > 1});
         refresh(workers[i]);
         workers[i]->observations += 1.0 / static_cast<double>(workers.size());
     }
@@ -407,14 +391,16 @@
     ++step.observations;
     if (step.observations <= RevisedItems)
         reviseItems(&step);
-    if (workers.size() == 1 && step.observations < RevisedItems)
-        step.items.push_back({workers.front(), observation.logRunTime, bounded(toWorker), toLevel});
+    step.items.insert(step.items.end(), estimates.begin(), estimates.end());
+    if (workers.size() == 1 && step.observations < RevisedItems && !observation.isProgress)
+        step.items.push_back(
+            {workers.front(), observation.logRunTime, bounded(toWorker), toLevel, index});
     refreshSome(members.front()->kind);
     for (std::size_t i = 0; i < workers.size(); ++i) {
         const double mean = meanOf(workers[i]->probability);
         if (m_isUnequal && std::abs(mean - workers[i]->reported) > NotableChange) {
             workers[i]->reported = mean;
-            evidence.changed = members[i];
+            evidence.changed.push_back(members[i]->worker);
         }
     }
     for (std::size_t k = 0; k < SlownessPoints; ++k)
--- a/tests/plan_site_base.h
+++ b/tests/plan_site_base.h
@@ -140,6 +140,21 @@
 
     batch_scheduler &scheduler() { return m_scheduler; }
 
+    /// Applies all records again as a load of the journal does: the announcements of the workers,
+    /// whose keys were written again since, come last.
+    void reload()
+    {
+        m_scheduler.forgetRunTimes();
+        m_state.clear();
+        for (const bool announcements : {false, true}) {
+            for (const batch_record &record : m_records) {
+                if (std::holds_alternative<agent_announced>(record) == announcements)
+                    m_state.apply(record, ++m_offset);
+            }
+        }
+        m_scheduler.learnReplayed(m_state);
+    }
+
 private:
     static constexpr unix_ms WorkerStartMs = 1;
 
@@ -168,9 +183,14 @@
         apply(agent_announced {agentOf(number), true, worker});
     }
 
-    void apply(const batch_record &record) { m_state.apply(record, ++m_offset); }
+    void apply(const batch_record &record)
+    {
+        m_records.push_back(record);
+        m_state.apply(record, ++m_offset);
+    }
 
     site_config m_config;
+    std::vector<batch_record> m_records;
     batch_state m_state;
     batch_scheduler m_scheduler {scheduler_options {}};
     unix_ms m_nowMs = 1'000'000;
--- a/tests/worker_speed_model_test.cpp
+++ b/tests/worker_speed_model_test.cpp
@@ -29,6 +29,7 @@
     void beginJob(double error = 0.5, std::string queue = "queue")
     {
         ++m_jobs;
+        m_items = 0;
         m_queue = std::move(queue);
         m_typicalMs = 4'000 * std::exp(normal(0.7));
         m_declaredMs = static_cast<std::int64_t>(m_typicalMs * std::exp(normal(error)));
@@ -38,8 +39,9 @@
     void run(const std::vector<std::size_t> &workers)
     {
         double slowest = 0;
-        finished_run finished {
-            m_queue, m_declaredMs, 0, unit_id {job_id(absl::StrCat(m_jobs))}, {}};
+        finished_run finished {m_queue, m_declaredMs,
+                               0,       unit_id {job_id(absl::StrCat(m_jobs)), 0, 0, m_items++},
+                               {},      m_team};
         for (const std::size_t worker : workers) {
             slowest = std::max(slowest, m_slowness[worker]);
             finished.members.push_back({workerOf(worker), "kind"});
@@ -47,7 +49,10 @@
         const double tail = std::uniform_real_distribution<>()(m_random) < 0.03 ? 7.0 : 1.0;
         finished.runTimeMs
             = static_cast<std::int64_t>(m_typicalMs * slowest * std::exp(normal(noise)) * tail);
-        model.learn(finished);
+        if (asProgress)
+            model.learnProgress(finished);
+        else
+            model.learn(finished);
     }
 
     /// A job of `items` single items on the workers from `first` on.
@@ -85,12 +90,15 @@
     }
 
     item_time_model model;
-    double noise = 0.2; ///< spread of the items of one step
+    double noise = 0.2;      ///< spread of the items of one step
+    bool asProgress = false; ///< the runs go on, and their times are estimates
 
 private:
     std::vector<double> m_slowness;
     std::mt19937_64 m_random;
     std::uint64_t m_jobs = 0;
+    std::uint32_t m_items = 0;
+    team_id m_team;
     std::string m_queue;
     double m_typicalMs = 0;
     std::int64_t m_declaredMs = 0;
@@ -174,5 +182,83 @@
     EXPECT_GT(site.model.slownessOf(site.workerOf(0)), 1.3);
 }
 
+// Guards against speeds that are unknown until the first long items of a day have ended, and
+// against progress that still counts when the end of its run is known.
+TEST(worker_speed_model_test, progressShowsSpeedsUntilTheEndReplacesIt)
+{
+    double right = 0;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        simulated_site site(unequal(75), seed);
+        site.asProgress = true;
+        for (int job = 0; job < 3; ++job)
+            site.runItems(0, 75);
+        EXPECT_TRUE(site.model.speeds().isUnequal()) << seed;
+        right += site.shareRight(1.25) / 10;
+    }
+    EXPECT_GE(right, 0.8);
+
+    simulated_site direct(unequal(30), 1);
+    simulated_site replaced(unequal(30), 1);
+    const process_id worker = simulated_site::workerOf(0);
+    finished_run run {"queue", 4'000, 2'400, unit_id {job_id("last")}, {{worker, "kind"}}, {}};
+    for (simulated_site *site : {&direct, &replaced}) {
+        for (int job = 0; job < 10; ++job)
+            site->runItems(0, 30);
+    }
+    const double before = direct.model.slownessOf(worker);
+    run.runTimeMs = 20'000;
+    replaced.model.learnProgress(run);
+    replaced.model.learnProgress(run);
+    EXPECT_GT(replaced.model.slownessOf(worker), before * 1.01);
+    run.runTimeMs = 2'400;
+    direct.model.learn(run);
+    replaced.model.learn(run);
+    EXPECT_NEAR(direct.model.slownessOf(worker), replaced.model.slownessOf(worker), 0.05);
+}
+
+// Guards against deciders that plan differently after the same journal.
+TEST(worker_speed_model_test, sameRunsGiveTheSameModel)
+{
+    simulated_site first(unequal(40), 7);
+    simulated_site second(unequal(40), 7);
+    for (simulated_site *site : {&first, &second}) {
+        for (int job = 0; job < 100; ++job) {
+            site->runItems(site->below(40), 5);
+            site->runGang(3);
+        }
+    }
+    EXPECT_TRUE(first.model.speeds().isUnequal());
+    for (std::size_t i = 0; i < 40; ++i)
+        EXPECT_EQ(first.model.slownessOf(first.workerOf(i)),
+                  second.model.slownessOf(second.workerOf(i)));
+}
+
+// Guards against typical times that follow the few runs which take 7 times as long, and against
+// reservations that ignore them.
+TEST(item_time_model_test, longRunsShowInHighQuantilesOnly)
+{
+    item_time_model model;
+    for (int i = 0; i < 300; ++i)
+        model.learn("queue", 2'000, i % 33 == 0 ? 14'000 : 1'900 + i % 5 * 50, process_id("w"));
+    EXPECT_NEAR(static_cast<double>(model.expectedMs("queue", 2'000)), 2'000, 150);
+    EXPECT_LT(model.expectedMs("queue", 2'000, 0.85), 3'000);
+    EXPECT_GT(model.expectedMs("queue", 2'000, 0.995), 8'000);
+}
+
+// Guards against a team whose wrong declarations make other teams' times wrong.
+TEST(item_time_model_test, wrongDeclarationsHurtOnlyTheirTeam)
+{
+    item_time_model model;
+    const team_id right("right");
+    const team_id wrong("wrong");
+    for (int i = 0; i < 60; ++i) {
+        const std::int64_t ms = 1'000 + 173 * (i % 20);
+        model.learn({"queue", ms, ms, std::nullopt, {{process_id("w"), ""}}, right});
+        model.learn({"queue", 4 * ms, ms, std::nullopt, {{process_id("w"), ""}}, wrong});
+    }
+    EXPECT_NEAR(static_cast<double>(model.expectedMs("queue", 2'000, right)), 2'000, 300);
+    EXPECT_NEAR(static_cast<double>(model.expectedMs("queue", 8'000, wrong)), 2'000, 500);
+}
+
 } // namespace
 } // namespace hyssoppond::batch
