Unequal workers are told apart after fewer runs

Two standard errors and six pairs are the least with which the test of equal workers passes unchanged.

--- a/src/batch/worker_speed_model.cpp
+++ b/src/batch/worker_speed_model.cpp
@@ -38,10 +38,10 @@
 /// Workers count as equally fast while the variance of the logarithms of their slowness is below
 /// this bound, or is not known to be above it with so many standard errors.
 constexpr double MinSlownessVariance = 0.1 * 0.1;
-constexpr double UnequalStandardErrors = 3.0;
+constexpr double UnequalStandardErrors = 2.0;
 
 /// Least effective number of pairs of runs by which workers are told apart.
-constexpr double MinRetestPairs = 10.0;
+constexpr double MinRetestPairs = 6.0;
 
 /// Decay of earlier pairs of runs with each pair.
 constexpr double RetestDecay = 0.9995;
