--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -16,8 +16,8 @@
 /// A unit that failed on this many workers is taken to be at fault itself, and the workers are not.
 constexpr std::size_t FailedWorkersToBlameUnit = 2;
 
-/// Newest runs of a replay that are learned. Earlier ones have decayed, and an entry with a tenth
-/// of a core learns so many within a second, during which it decides nothing.
+/// Newest runs of a replay that are learned. Earlier ones have decayed, and at 30 us a run an entry
+/// with a tenth of a core needs 0.6 s for so many, during which it decides nothing.
 constexpr std::size_t MaxReplayedRuns = 2'000;
 
 /// Most doublings of the quarantine time of a worker on which runs keep failing.
