Cost of a stop: checkpoint age, time left, lateness after a restart

Cause: a stopped run counted as its run time or, with checkpoints, as 0.3 s, whatever the time between checkpoints. Urgent work stopped runs that were about to end, runs that could only be in time without the stop, and useful work beside work of no use any more. Stops for the first members of a gang stayed although those for later members made them needless.

A run that is expected to end within the time of a stop is awaited, unless it is overdue or a guarantee is due. A run started on freed capacity within reclaim_ms is stopped last. The reason of a stop names what it throws away.

--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -21,6 +21,9 @@
     absl::Duration reclaimWithin = absl::Milliseconds(2'900);
     /// Longest time that the stop of a run takes; set by the platform.
     absl::Duration stopTime = absl::Milliseconds(900);
+    /// Time between two checkpoints of a run that saves its progress; set by the platform. Zero:
+    /// not known, a stop loses no work since the newest one.
+    absl::Duration checkpointInterval = absl::ZeroDuration();
     /// Quarantine of a worker after a failed item; doubles with further failures.
     absl::Duration failureQuarantine = absl::Seconds(4);
     /// Quarantine of a worker after it refused an item.
@@ -111,6 +114,8 @@
     item_time_model m_times;
     /// Workers that are being cleared for an urgent unit, one entry for each member.
     std::map<unit_id, std::vector<process_id>> m_claims;
+    /// Time of the order of units that were started lately on capacity which stops freed.
+    std::map<unit_id, unix_ms> m_startedByStops;
 };
 
 /// Expected time of the longest chain of dependent steps among those from `firstStep` on, in ms.
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -95,11 +95,16 @@
     maker.stopBrokenRuns();
     maker.computeHeadroom();
     maker.claims = std::move(m_claims);
+    maker.startedByStops = std::move(m_startedByStops);
+    std::erase_if(maker.startedByStops, [&](const auto &started) {
+        return input.nowMs - started.second > absl::ToInt64Milliseconds(m_options.reclaimWithin);
+    });
     const std::vector<waiting_unit> units = maker.waitingUnits();
     maker.reserveClaims(units);
     for (const waiting_unit &unit : units)
         maker.place(unit);
     m_claims = std::move(maker.keptClaims);
+    m_startedByStops = std::move(maker.startedByStops);
     return std::move(maker.decisions);
 }
 
--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -92,10 +92,12 @@
         fitsAfterStops = fitsAfterStops && isNonNegative(afterStops);
     }
     unreserve(unit, chosen);
-    if (fitsNow)
+    if (fitsNow) {
+        startedByStops[unit.id] = input.nowMs;
         orderRun(unit, chosen);
-    else if (fitsAfterStops)
+    } else if (fitsAfterStops) {
         claim(unit, chosen);
+    }
     return fitsNow || fitsAfterStops;
 }
 
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -6,6 +6,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,6 +56,19 @@
         const queue_policy *queue = nullptr;
     };
 
+    /// What stopping a run costs.
+    struct stop_cost
+    {
+        double coreSeconds = 0; ///< work thrown away, and what else the stop counts for
+        bool endsSoon = false;  ///< expected to end within the time that a stop takes
+        std::string why;        ///< why it is not just the work since the newest checkpoint
+    };
+
+    /// Time of the order of units that were started on capacity which stops freed.
+    std::map<unit_id, unix_ms> startedByStops = {};
+    /// See stopCostOf(), by index in `runs`.
+    mutable std::vector<std::optional<stop_cost>> stopCosts = {};
+
     std::vector<unplaced_shape> unplaced = {};
     /// Queues that were looked up, by name; see queueOf().
     mutable absl::flat_hash_map<std::string_view, const queue_policy *> knownQueues = {};
@@ -149,7 +163,9 @@
     {
         std::size_t run = 0; ///< index in `runs`
         resources here;      ///< resources of its members on the worker
-        double cost = 0;     ///< core-seconds, see preemptionCost()
+        double cost = 0;     ///< core-seconds, see stop_cost
+        /// It is not stopped, as it is expected to end as soon as a stop would.
+        bool endsSoon = false;
     };
     /// Cheapest way to make room for one more member on one worker.
     struct preemption_option
@@ -166,10 +182,10 @@
     };
     struct preemption_plan
     {
-        std::vector<std::size_t> chosen;  ///< indexes in `workers`, one for each member
-        std::vector<std::size_t> victims; ///< indexes in `runs`
-        double cost = 0;                  ///< core-seconds
-        bool isTooCostly = false;         ///< given up at the highest cost
+        std::vector<std::size_t> chosen; ///< indexes in `workers`, one for each member
+        std::vector<victim> victims;
+        double cost = 0;          ///< core-seconds
+        bool isTooCostly = false; ///< given up at the highest cost
     };
 
     /// True if the urgent runs of the unit's team stay within its guarantee when the unit starts.
@@ -187,8 +203,17 @@
     /// Finds the cheapest stops for one more member; runs in `stoppedRuns` are free already.
     void evaluate(preemption_option *option, const waiting_unit &unit,
                   const std::vector<bool> &stoppedRuns) const;
-    /// Cost of stopping a run, in core-seconds.
-    double preemptionCost(const active_run &run) const;
+    /// Lateness of the run's job if the run ends at `endMs`: 0 in time, 1 late, 2 of no use.
+    int latenessOfEnd(const active_run &run, unix_ms endMs) const;
+    stop_cost computeStopCost(const active_run &run) const;
+    /// Cost of stopping the run with this index in `runs`.
+    const stop_cost &stopCostOf(std::size_t run) const;
+    /// The cost and its reason, as the log gives them with a stop.
+    std::string describeStop(std::size_t run) const;
+    /// Takes out the stops that later, larger ones have made needless. `options` holds the
+    /// resources that the plan leaves on each worker.
+    void dropNeedlessStops(const std::vector<preemption_option> &options,
+                           preemption_plan *plan) const;
     /// True if runs of the job `victimJob` may be stopped for `unit`.
     bool mayPreempt(const waiting_unit &unit, const job_state &victimJob) const;
     /// Accelerators that the team's urgent runs use.
--- a/src/batch/plan_preempt.cpp
+++ b/src/batch/plan_preempt.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Seconds lost when a run with checkpoints is stopped: the time of the order and of the restore.
-constexpr double CheckpointLossSeconds = 0.3;
-
 /// Largest cost accepted for an urgent unit that need not be started for its guarantee yet: a base
 /// in core-seconds plus a multiple of the unit's own work. A higher cost harms the callers more
 /// than the unit gains.
@@ -26,33 +23,12 @@
 /// Time, besides that of a stop, by which a stop is begun before the latest start of the unit.
 constexpr absl::Duration PreemptionLead = absl::Milliseconds(400);
 
-/// Least loss that a stopped run counts for, in seconds. It keeps the number of victims low.
-constexpr double MinLossSeconds = 0.2;
-
-/// Core-seconds added to the cost of stopping an urgent run. The run then ends late, which costs
-/// its caller about as much as the stop of other work may.
-constexpr double UrgentVictimCoreSeconds = 1'000.0;
-
 /// Time allowed, besides that of a stop, for delivering the orders before a guarantee has to be
 /// met.
 constexpr absl::Duration ReclaimMargin = absl::Milliseconds(700);
 
 } // namespace
 
-double plan_maker::preemptionCost(const active_run &run) const
-{
-    const batch_step &step = run.job->job.steps[run.unit->step];
-    const double elapsedSeconds = static_cast<double>(input.nowMs - run.state->orderedMs) / 1000.0;
-    const double lostSeconds
-        = step.checkpointed ? std::min(elapsedSeconds, CheckpointLossSeconds) : elapsedSeconds;
-    const queue_policy *queue = queueOf(run.job->job.queue);
-    const double urgentPenalty
-        = queue != nullptr && queue->priority == 0 ? UrgentVictimCoreSeconds : 0.0;
-    return std::max(lostSeconds, MinLossSeconds) * weightOf(step.item)
-        * static_cast<double>(run.state->members.size())
-        + urgentPenalty;
-}
-
 std::int64_t plan_maker::urgentAccelerators(const team_id &team) const
 {
     const auto found = urgentUse.find(team.str());
@@ -91,6 +67,8 @@
                                                       const worker_availability &worker) const
 {
     std::vector<victim> victims;
+    // A guarantee that is due does not rely on the expected end of a run.
+    const bool mayAwaitEnds = !mustReclaim(unit);
     for (const auto &[index, members] : worker.runs) {
         const active_run &run = runs[index];
         if (run.state->stopping || run.job->isOver() || stopped.contains(*run.unit)
@@ -99,7 +77,9 @@
         resources here;
         for (std::uint32_t i = 0; i < members; ++i)
             here += run.item;
-        victims.push_back({index, here, preemptionCost(run)});
+        const stop_cost &cost = stopCostOf(index);
+        const bool endsSoon = mayAwaitEnds && cost.endsSoon;
+        victims.push_back({index, here, endsSoon ? 0.0 : cost.coreSeconds, endsSoon});
     }
     std::stable_sort(victims.begin(), victims.end(),
                      [](const victim &a, const victim &b) { return a.cost < b.cost; });
@@ -180,7 +160,7 @@
         best->isCurrent = false;
         for (const victim &stop : best->stops) {
             stoppedRuns[stop.run] = true;
-            result.victims.push_back(stop.run);
+            result.victims.push_back(stop);
             for (const member_state &member : runs[stop.run].state->members) {
                 const auto found = workerIndexes.find(member.member.agent.str());
                 if (member.end || found == workerIndexes.end()
@@ -195,6 +175,7 @@
         ++best->placed;
         result.chosen.push_back(best->worker);
     }
+    dropNeedlessStops(options, &result);
     return result;
 }
 
@@ -229,9 +210,13 @@
             unit, [](const worker_availability &) { return true; }, maxCost);
     if (best.chosen.empty())
         return false;
-    for (const std::size_t victim : best.victims)
-        stopRun(runs[victim],
-                absl::StrCat("preempted for ", toString(unit.id), ", ", describe(unit)));
+    for (const victim &stop : best.victims) {
+        if (stop.endsSoon)
+            continue;
+        stopRun(runs[stop.run],
+                absl::StrCat("preempted for ", toString(unit.id), ", ", describeStop(stop.run),
+                             ", ", describe(unit)));
+    }
     claim(unit, best.chosen);
     return true;
 }
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -78,6 +78,17 @@
     EXPECT_EQ(read->metricsPort, 7000);
     EXPECT_EQ(read->wakePort, 7001);
     EXPECT_FALSE(read->worker.isSet());
+    EXPECT_EQ(read->checkpointInterval, absl::ZeroDuration());
+}
+
+// Guards against a bound of the platform that is rendered under another name than it is read.
+TEST(deploy_settings_test, readsTheTimeBetweenCheckpoints)
+{
+    const auto read = parseDeploySettings(
+        R"({"name":"n","zone":"z","front":"10.0.0.1:80","readiness":"10.0.0.1:81",)"
+        R"("store_address":"10.0.0.2:90","checkpoint_seconds":0.5})");
+    ASSERT_TRUE(read.has_value()) << read.error().message;
+    EXPECT_EQ(read->checkpointInterval, absl::Milliseconds(500));
 }
 
 // Guards against a job field that is decoded under a wrong name or not at all.
--- /dev/null
+++ b/tests/batch_overload_plan_test.cpp
@@ -0,0 +1,130 @@
+/// @file Tests of the scheduler's plans while there is more work than capacity.
+#include "plan_site_base.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace hyssoppond::batch {
+namespace {
+
+using testing::ElementsAre;
+using testing::IsEmpty;
+
+/// An item that takes a whole worker.
+batch_step wholeWorker(std::uint32_t estimateMs, bool checkpointed = false)
+{
+    batch_step step = plan_site::stepOf(1, 8, false, estimateMs);
+    step.checkpointed = checkpointed;
+    return step;
+}
+
+void start(plan_site *site, const std::string &id, const std::string &queue, std::size_t worker,
+           const batch_step &step)
+{
+    site->submit(id, queue, "b", step);
+    site->run(id, {worker});
+}
+
+// Urgent jobs on a full site, where checkpoints are 5 s apart. Guards against a stop of a run with
+// checkpoints that throws away more than the stop of one that has just begun without any.
+TEST(batch_overload_plan_test, ageOfTheCheckpointCountsAsLost)
+{
+    scheduler_options options;
+    options.checkpointInterval = absl::Seconds(5);
+    plan_site site(2, options);
+    start(&site, "saving", "normal", 0, wholeWorker(30'000, true));
+    site.advance(9'000);
+    start(&site, "begun", "normal", 1, wholeWorker(9'000));
+    site.advance(300);
+    site.submit("urgent", "urgent", "b", wholeWorker(2'000));
+    EXPECT_THAT(site.plan().stopped, ElementsAre("begun"));
+}
+
+// Urgent jobs on a full site whose runs end all the time. Guards against the stop of a run that
+// would have ended by itself as soon as the stop frees its worker.
+TEST(batch_overload_plan_test, runThatIsAboutToEndIsAwaited)
+{
+    plan_site site(1);
+    start(&site, "ending", "normal", 0, wholeWorker(9'000, true));
+    site.advance(8'300);
+    site.submit("urgent", "urgent", "b", wholeWorker(2'000));
+    EXPECT_THAT(site.plan().stopped, IsEmpty());
+    site.advance(600);
+    EXPECT_THAT(site.plan().stopped, IsEmpty());
+    site.end("ending");
+    EXPECT_THAT(site.plan().ordered, ElementsAre("urgent"));
+}
+
+// The same with a run that takes longer than expected. Guards against urgent work that waits for
+// ever for a run that is always about to end.
+TEST(batch_overload_plan_test, overdueRunIsNotAwaited)
+{
+    plan_site site(1);
+    start(&site, "overdue", "normal", 0, wholeWorker(9'000, true));
+    site.advance(9'100);
+    site.submit("urgent", "urgent", "b", wholeWorker(2'000));
+    EXPECT_THAT(site.plan().stopped, ElementsAre("overdue"));
+}
+
+// Urgent jobs on a site full of work in time. Guards against the stop of a run that could not end
+// in time after it, while another one could.
+TEST(batch_overload_plan_test, workThatCanStillEndInTimeAfterARestartIsStoppedFirst)
+{
+    plan_site site(2);
+    site.submit("tight", "normal", "b", wholeWorker(9'000));
+    site.advance(17'000);
+    start(&site, "slack", "normal", 0, wholeWorker(9'000));
+    site.advance(500);
+    site.run("tight", {1});
+    site.advance(1'000);
+    site.submit("urgent", "urgent", "a", wholeWorker(2'000));
+    site.advance(1'200);
+    EXPECT_THAT(site.plan().stopped, ElementsAre("slack"));
+}
+
+// Urgent jobs on a full site after a long overload. Guards against the stop of work that is of use
+// while a run goes on whose job has lost all its value.
+TEST(batch_overload_plan_test, workBeyondUseIsStoppedFirst)
+{
+    plan_site site(2);
+    site.submit("useless", "normal", "b", wholeWorker(9'000));
+    site.advance(90'000);
+    site.run("useless", {0});
+    site.advance(5'000);
+    start(&site, "useful", "normal", 1, wholeWorker(9'000));
+    site.advance(400);
+    site.submit("urgent", "urgent", "b", wholeWorker(2'000));
+    EXPECT_THAT(site.plan().stopped, ElementsAre("useless"));
+}
+
+// Urgent gangs on a site full of small and large runs. Guards against stops for the first member
+// that the stops for the later ones make needless.
+TEST(batch_overload_plan_test, stopsForAGangAreNoMoreThanItNeeds)
+{
+    plan_site site(1);
+    start(&site, "small", "normal", 0, plan_site::stepOf(1, 1, false, 9'000));
+    start(&site, "large", "normal", 0, plan_site::stepOf(1, 5, false, 9'000));
+    site.advance(300);
+    site.submit("urgent", "urgent", "b", plan_site::stepOf(2, 3, true));
+    EXPECT_THAT(site.plan().stopped, ElementsAre("large"));
+}
+
+// Bursts of urgent jobs of two teams on a full site. Guards against a run that is stopped a moment
+// after other work was stopped for it, while an older urgent run could be.
+TEST(batch_overload_plan_test, runThatWasStartedByStopsIsStoppedLast)
+{
+    plan_site site(2);
+    start(&site, "old", "urgent", 1, wholeWorker(10'000));
+    start(&site, "normal", "normal", 0, wholeWorker(30'000, true));
+    site.advance(1'000);
+    site.submit("new", "urgent", "b", wholeWorker(3'000));
+    EXPECT_THAT(site.plan().stopped, ElementsAre("normal"));
+    site.end("normal", run_end::Stopped);
+    EXPECT_THAT(site.plan().ordered, ElementsAre("new"));
+    site.submit("guaranteed", "urgent", "a", wholeWorker(2'000));
+    site.advance(1'400);
+    EXPECT_THAT(site.plan().stopped, ElementsAre("old"));
+}
+
+} // namespace
+} // namespace hyssoppond::batch
--- a/tests/plan_site_base.h
+++ b/tests/plan_site_base.h
@@ -18,7 +18,8 @@
 public:
     static constexpr std::int64_t Guarantee = 16; ///< accelerators of team "a"
 
-    explicit plan_site(std::size_t workers)
+    explicit plan_site(std::size_t workers, scheduler_options options = {})
+        : m_scheduler(options)
     {
         m_config.version = 1;
         m_config.queues = {queueOf("urgent", 0, 1.5, 300), queueOf("normal", 1, 3.0, 1'000),
@@ -140,6 +141,15 @@
 
     batch_scheduler &scheduler() { return m_scheduler; }
 
+    /// Announces that a worker drains, and leaves in `leavesInMs` at the earliest.
+    void drain(std::size_t number, std::int64_t leavesInMs)
+    {
+        agent_announced announced = m_state.agents().at(agentOf(number));
+        announced.worker.draining = true;
+        announced.worker.earliestLeaveMs = m_nowMs + leavesInMs;
+        apply(announced);
+    }
+
 private:
     static constexpr unix_ms WorkerStartMs = 1;
 
@@ -172,7 +182,7 @@
 
     site_config m_config;
     batch_state m_state;
-    batch_scheduler m_scheduler {scheduler_options {}};
+    batch_scheduler m_scheduler;
     unix_ms m_nowMs = 1'000'000;
     std::uint64_t m_offset = 0;
 };
