Order of waiting work when not all of it can end in time

Cause: the earliest latest start first serves each unit just when it becomes late once there is more work than capacity, and so makes all of it late.

Change: scarcity_order.cpp predicts, for each service, what the capacity less the present runs, the urgent units and the headroom can do by each due time, and gives up the costliest steps until the others end in time (Moore 1968). The cost is the work left times the share of the job that is not begun, so nearly done jobs are finished; a unit with a checkpoint counts half and goes before the others of its step, also after a mass loss of workers. Late work is chosen in the same way with three times the objective; work beyond use comes last, one job after the other. If all work can end in time, the order is as before; urgent work in time and guaranteed work go first as before. Orders of units that were put off say so.

Tests: batch_scarcity_plan_test (6).

--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -65,6 +65,15 @@
     std::string why;
 };
 
+/// What the order of waiting units expects of a unit when not all work can end in time.
+enum class start_class : std::uint8_t {
+    InTime,   ///< it ends in time, or there is no shortage
+    Late,     ///< put off, as others end in time only without it; it ends late
+    Hopeless, ///< put off until it is of no use any more, unless capacity becomes free
+};
+
+inline constexpr name_table<start_class, 3> StartClassNames {{"InTime", "Late", "Hopeless"}};
+
 /// A unit that can start now.
 struct waiting_unit
 {
@@ -79,6 +88,14 @@
     std::uint32_t members = 1;
     std::int64_t expectedMs = 0; ///< run time on a worker of mean speed near the data
     bool guaranteed = false;     ///< urgent, and its team's guarantee covers it
+    /// Latest start to end within three times the objective.
+    unix_ms lastStartMs = 0;
+    start_class startClass = start_class::InTime;
+    double serveCost = 0; ///< orders units that end too late, see due_work::cost
+
+    /// Urgent units go first, except late ones without a guarantee: these are worth less than other
+    /// work that is in time.
+    bool goesFirst() const { return queue->priority == 0 && (lateness == 0 || guaranteed); }
 };
 
 /// Makes the plans. Between plans it keeps only learned run times, quarantines and claims.
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -281,13 +281,12 @@
             unit.members = step.gang ? step.count : 1;
             unit.expectedMs = times.expectedMs(queue->name, step.estimateMs);
             unit.guaranteed = queue->priority == 0 && isGuaranteed(unit);
+            // A late unit is still of use up to three times its objective.
             unit.latestStartMs = dueMs + objectiveMs - remainingMs;
+            unit.lastStartMs = dueMs + 3 * objectiveMs - remainingMs;
             if (unit.latestStartMs < input.nowMs) {
-                unit.lateness = 1;
-                // A late unit is still of use up to three times its objective.
-                unit.latestStartMs = dueMs + 3 * objectiveMs - remainingMs;
-                if (unit.latestStartMs < input.nowMs)
-                    unit.lateness = 2;
+                unit.lateness = unit.lastStartMs < input.nowMs ? 2 : 1;
+                unit.latestStartMs = unit.lastStartMs;
             }
             for (std::uint32_t unitIndex = 0; unitIndex < occurrence.steps[stepIndex].units.size();
                  ++unitIndex) {
@@ -307,18 +306,8 @@
     std::vector<waiting_unit> units;
     for (const job_state *job : openJobs)
         addUnits(*job, &units);
-    std::stable_sort(units.begin(), units.end(), [](const waiting_unit &a, const waiting_unit &b) {
-        // Urgent units go first, except late ones without a guarantee: these are worth less than
-        // other work that is in time.
-        const auto goesFirst = [](const waiting_unit &unit) {
-            return unit.queue->priority == 0 && (unit.lateness == 0 || unit.guaranteed);
-        };
-        if (goesFirst(a) != goesFirst(b))
-            return goesFirst(a);
-        if (a.lateness != b.lateness)
-            return a.lateness < b.lateness;
-        return a.latestStartMs < b.latestStartMs;
-    });
+    putOffLateWork(&units);
+    std::stable_sort(units.begin(), units.end(), startsBefore);
     return units;
 }
 
--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -126,7 +126,9 @@
 std::string plan_maker::describe(const waiting_unit &unit) const
 {
     return absl::StrCat("latest start in ", unit.latestStartMs - input.nowMs, " ms, lateness ",
-                        static_cast<int>(unit.lateness), ", expected ", unit.expectedMs, " ms, ",
+                        static_cast<int>(unit.lateness),
+                        unit.startClass == start_class::InTime ? "" : ", put off in overload",
+                        ", expected ", unit.expectedMs, " ms, ",
                         unit.guaranteed ? "guaranteed, " : "", freeAccelerators(),
                         " accelerators free");
 }
@@ -233,7 +235,8 @@
 
 void plan_maker::reserveForGang(const waiting_unit &unit)
 {
-    if (reservations >= MaxGangReservations || unit.lateness > 0 || unit.members < 2)
+    if (reservations >= MaxGangReservations || unit.lateness > 0 || unit.members < 2
+        || unit.startClass != start_class::InTime)
         return;
     const auto wholeCapacity
         = [](const worker_availability &worker) { return worker.description->capacity; };
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -3,6 +3,8 @@
 
 #include "hyssoppond/batch/batch_scheduler_base.h"
 
+#include "scarcity_order.h"
+
 #include <absl/container/flat_hash_map.h>
 
 #include <functional>
@@ -13,6 +15,9 @@
 
 namespace hyssoppond::batch {
 
+/// Order of the waiting units, the most important first.
+bool startsBefore(const waiting_unit &a, const waiting_unit &b);
+
 /// Makes the decisions of one plan. Created for one plan and then dropped.
 struct plan_maker
 {
@@ -107,6 +112,16 @@
     void noteUnplaceable(const waiting_unit &unit);
     /// Members of the unit's step on each worker, for steps with a limit of them.
     std::vector<std::uint32_t> &membersOfStep(const waiting_unit &unit) const;
+    /// Sets the start class of units that are better put off, as not all work can end in time.
+    void putOffLateWork(std::vector<waiting_unit> *units) const;
+    /// The same for one service, whose workers have `total` in all.
+    void putOffLateWork(const std::string &service, const resources &total,
+                        std::vector<waiting_unit> *units) const;
+    /// Capacity of the service that runs, `units` that go first and the headroom leave.
+    capacity_forecast forecastFor(const std::string &service, const resources &total,
+                                  const std::vector<waiting_unit> &units) const;
+    /// Share of the work of an occurrence that is done or runs.
+    double investedShare(const job_state &job, std::uint32_t occurrence) const;
     bool placeNow(const waiting_unit &unit);
     /// True if new work of some kind may be ordered from the worker now.
     static bool takesWork(const worker_availability &worker);
--- a/tests/plan_site_base.h
+++ b/tests/plan_site_base.h
@@ -85,21 +85,30 @@
     void end(const std::string &id, run_end how = run_end::Done, std::int64_t runTimeMs = 0)
     {
         const auto units = m_state.find(job_id(id))->activeUnits;
-        for (const unit_id &unit : units) {
-            const run_state run = *m_state.findUnit(unit)->active;
-            for (const member_state &memberState : run.members) {
-                run_ended ended;
-                ended.unit = unit;
-                ended.run = run.run;
-                ended.member = memberState.member.index;
-                ended.agent = memberState.member.agent;
-                ended.how = how;
-                ended.runTimeMs = runTimeMs;
-                apply(ended);
-            }
+        for (const unit_id &unit : units)
+            endUnit(unit, how, runTimeMs);
+    }
+
+    /// Records the end of the active run of a unit.
+    void endUnit(const unit_id &unit, run_end how, std::int64_t runTimeMs = 0,
+                 const std::string &checkpoint = "")
+    {
+        const run_state run = *m_state.findUnit(unit)->active;
+        for (const member_state &memberState : run.members) {
+            run_ended ended;
+            ended.unit = unit;
+            ended.run = run.run;
+            ended.member = memberState.member.index;
+            ended.agent = memberState.member.agent;
+            ended.how = how;
+            ended.runTimeMs = runTimeMs;
+            ended.checkpoint = checkpoint;
+            apply(ended);
         }
     }
 
+    bool runs(const unit_id &unit) const { return m_state.findUnit(unit)->active.has_value(); }
+
     /// Advances the clock by `ms`, which may be negative.
     void advance(std::int64_t ms) { m_nowMs += ms; }
 
