Waiting urgent units keep free the capacity that they will take

Cause: while an urgent unit waits for runs to end, other work took the free part of what it needs. Work that has just begun is the cheapest to stop, so it was stopped when the latest start of the urgent unit came. The headroom does not cover this: it counts accelerators of the whole site.

Tests: nothingStartsWhereAnUrgentUnitWaits, which fails without the reservation.

--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -182,8 +182,10 @@
     // The entry refuses submissions to queues with advice.
     if (unit.queue->needsAdvice || isKnownUnplaceable(unit))
         return;
-    if (!placeNow(unit))
-        noteUnplaceable(unit);
+    if (placeNow(unit))
+        return;
+    noteUnplaceable(unit);
+    reserveForUrgent(unit);
 }
 
 bool plan_maker::placeNow(const waiting_unit &unit)
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -35,7 +35,8 @@
     /// Part of `headroom` that stays free on workers that run nothing, for items that need more
     /// than half of a worker.
     std::int64_t wholeHeadroom = 0;
-    std::uint32_t reservations = 0; ///< gangs for which capacity is reserved in this plan
+    std::uint32_t reservations = 0;       ///< gangs for which capacity is reserved in this plan
+    std::uint32_t urgentReservations = 0; ///< urgent units for which capacity is reserved
 
     /// Active run of an item or a gang.
     struct active_run
@@ -162,6 +163,9 @@
     /// True if `wholeHeadroom` accelerators stay free on idle workers when work that is not urgent
     /// starts on the workers `chosen`.
     bool leavesIdleWorkers(const std::vector<std::size_t> &chosen) const;
+    /// Reserves the capacity that a waiting urgent unit will take, so that no work starts there
+    /// only to be stopped for it.
+    void reserveForUrgent(const waiting_unit &unit);
     /// Reserves the workers of the rack with the most free accelerators for a waiting gang.
     void reserveForGang(const waiting_unit &unit);
     /// Reserves the workers and keeps them for the unit in the next plans.
@@ -215,6 +219,8 @@
     /// if not enough can be preempted for at most `maxCost` core-seconds.
     preemption_plan planPreemption(const waiting_unit &unit, const worker_filter &accept,
                                    double maxCost) const;
+    /// The cheapest plan for `unit` in the racks that it prefers or, if it may, anywhere.
+    preemption_plan cheapestStops(const waiting_unit &unit, double maxCost) const;
     /// Finds the cheapest stops for one more member; runs in `stoppedRuns` are free already.
     void evaluate(preemption_option *option, const waiting_unit &unit,
                   const std::vector<bool> &stoppedRuns) const;
--- a/src/batch/plan_preempt.cpp
+++ b/src/batch/plan_preempt.cpp
@@ -179,20 +179,9 @@
     return result;
 }
 
-bool plan_maker::preempt(const waiting_unit &unit)
+plan_maker::preemption_plan plan_maker::cheapestStops(const waiting_unit &unit,
+                                                      double maxCost) const
 {
-    if (unit.lateness > 0 && !unit.guaranteed)
-        return false; // it can no longer end in time, so stopping other work gains nothing
-    double maxCost = std::numeric_limits<double>::max();
-    if (!mustReclaim(unit)) {
-        const std::int64_t leftMs = unit.latestStartMs - input.nowMs;
-        const double workCoreSeconds = static_cast<double>(unit.expectedMs) / 1000.0
-            * weightOf(unit.step->item) * static_cast<double>(unit.members);
-        // Other runs may end on their own in time.
-        const bool mayWait = leftMs > absl::ToInt64Milliseconds(options.stopTime + PreemptionLead);
-        maxCost = mayWait ? NegligibleCoreSeconds
-                          : PreemptionBaseCoreSeconds + PreemptionWorkRatio * workCoreSeconds;
-    }
     preemption_plan best;
     bool isTooCostly = false;
     if (unit.step->sameRack || !unit.step->dataRack.empty()) {
@@ -208,6 +197,24 @@
     if (best.chosen.empty() && !isTooCostly && !(unit.step->sameRack && unit.lateness == 0))
         best = planPreemption(
             unit, [](const worker_availability &) { return true; }, maxCost);
+    return best;
+}
+
+bool plan_maker::preempt(const waiting_unit &unit)
+{
+    if (unit.lateness > 0 && !unit.guaranteed)
+        return false; // it can no longer end in time, so stopping other work gains nothing
+    double maxCost = std::numeric_limits<double>::max();
+    if (!mustReclaim(unit)) {
+        const std::int64_t leftMs = unit.latestStartMs - input.nowMs;
+        const double workCoreSeconds = static_cast<double>(unit.expectedMs) / 1000.0
+            * weightOf(unit.step->item) * static_cast<double>(unit.members);
+        // Other runs may end on their own in time.
+        const bool mayWait = leftMs > absl::ToInt64Milliseconds(options.stopTime + PreemptionLead);
+        maxCost = mayWait ? NegligibleCoreSeconds
+                          : PreemptionBaseCoreSeconds + PreemptionWorkRatio * workCoreSeconds;
+    }
+    const preemption_plan best = cheapestStops(unit, maxCost);
     if (best.chosen.empty())
         return false;
     for (const victim &stop : best.victims) {
--- a/tests/batch_overload_plan_test.cpp
+++ b/tests/batch_overload_plan_test.cpp
@@ -7,6 +7,7 @@
 namespace hyssoppond::batch {
 namespace {
 
+using testing::Contains;
 using testing::ElementsAre;
 using testing::IsEmpty;
 
@@ -126,5 +127,30 @@
     EXPECT_THAT(site.plan().stopped, ElementsAre("old"));
 }
 
+// An urgent gang that waits for room, and short work beside it. Guards against work that is started
+// only to be stopped when the latest start of the gang comes.
+TEST(batch_overload_plan_test, nothingStartsWhereAnUrgentUnitWaits)
+{
+    plan_site site(6);
+    // The headroom is smaller than a gang, as most urgent jobs are small.
+    for (int i = 0; i < 10; ++i) {
+        const std::string id = absl::StrCat("small-", i);
+        start(&site, id, "urgent", 0, plan_site::stepOf(1, 1, false, 500));
+        site.end(id);
+    }
+    for (const std::size_t worker : {2, 3, 4})
+        start(&site, absl::StrCat("long-", worker), "normal", worker, wholeWorker(30'000));
+    site.advance(4'000);
+    batch_step gang = plan_site::stepOf(3, 8, true, 4'000);
+    gang.sameRack = true;
+    site.submit("gang", "urgent", "b", gang);
+    site.submit("normal", "normal", "b", plan_site::stepOf(1, 4));
+    const plan_site::outcome planned = site.plan();
+    EXPECT_THAT(planned.ordered, IsEmpty());
+    EXPECT_THAT(planned.stopped, IsEmpty());
+    site.end("long-2");
+    EXPECT_THAT(site.plan().ordered, Contains("gang"));
+}
+
 } // namespace
 } // namespace hyssoppond::batch
