Runs with checkpoints go on until their worker leaves if there is no room

Cause: a run that cannot end before its worker leaves was stopped with the notice, also if it saves its progress and could only wait elsewhere. On a full site the last seconds of each leaving worker were idle.

Runs without checkpoints are stopped at once, as before.

--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -233,16 +233,9 @@
                 continue;
             }
             const auto found = workerIndexes.find(member.member.agent.str());
-            if (found == workerIndexes.end() || !workers[found->second].description->draining)
-                continue;
-            // A run that cannot end before its worker leaves is stopped early, while little
-            // work is lost, and starts again elsewhere.
-            const unix_ms expectedEndMs = run.state->orderedMs
-                + times.expectedMs(run.job->job.queue,
-                                   run.job->job.steps[run.unit->step].estimateMs);
-            const unix_ms workerLeavesMs = workers[found->second].description->earliestLeaveMs;
-            outlivesWorker
-                = outlivesWorker || (workerLeavesMs != 0 && expectedEndMs > workerLeavesMs);
+            outlivesWorker = outlivesWorker
+                || (found != workerIndexes.end()
+                    && mustLeaveNow(run, *workers[found->second].description));
         }
         if (outlivesWorker)
             stopRun(run, "its worker leaves before the expected end of the run");
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -166,6 +166,10 @@
     /// Reserves the capacity that a waiting urgent unit will take, so that no work starts there
     /// only to be stopped for it.
     void reserveForUrgent(const waiting_unit &unit);
+    /// True if the run has to be stopped now, as `worker` leaves before it ends.
+    bool mustLeaveNow(const active_run &run, const worker_description &worker) const;
+    /// True if the run's members fit on workers that take work.
+    bool hasRoomElsewhere(const active_run &run) const;
     /// Reserves the workers of the rack with the most free accelerators for a waiting gang.
     void reserveForGang(const waiting_unit &unit);
     /// Reserves the workers and keeps them for the unit in the next plans.
--- a/tests/batch_overload_plan_test.cpp
+++ b/tests/batch_overload_plan_test.cpp
@@ -152,5 +152,34 @@
     EXPECT_THAT(site.plan().ordered, Contains("gang"));
 }
 
+// Notices that workers leave, while there is no room elsewhere. Guards against runs with
+// checkpoints that wait although they could go on, and against ones that go on until their worker
+// is gone.
+TEST(batch_overload_plan_test, savingRunsGoOnUntilTheirWorkerLeavesIfThereIsNoRoom)
+{
+    plan_site site(2);
+    start(&site, "other", "normal", 1, wholeWorker(30'000));
+    start(&site, "saving", "normal", 0, wholeWorker(20'000, true));
+    site.drain(0, 5'500);
+    EXPECT_THAT(site.plan().stopped, IsEmpty());
+    site.advance(3'500);
+    EXPECT_THAT(site.plan().stopped, IsEmpty());
+    site.advance(200);
+    EXPECT_THAT(site.plan().stopped, ElementsAre("saving"));
+}
+
+// The same with room elsewhere, or without checkpoints. Guards against work that is lost with its
+// worker.
+TEST(batch_overload_plan_test, otherRunsAreStoppedAtOnceWhenTheirWorkerLeaves)
+{
+    plan_site site(2);
+    start(&site, "saving", "normal", 0, wholeWorker(20'000, true));
+    site.drain(0, 5'500);
+    EXPECT_THAT(site.plan().stopped, ElementsAre("saving"));
+    start(&site, "unsaved", "normal", 1, wholeWorker(20'000));
+    site.drain(1, 5'500);
+    EXPECT_THAT(site.plan().stopped, ElementsAre("unsaved"));
+}
+
 } // namespace
 } // namespace hyssoppond::batch
