Shortage is predicted with the headroom of the whole site

Cause: the headroom counts accelerators of all services, but was subtracted from each service as a share of its own. On a site with several services a small one could seem to have no capacity, so that its work was put off.

Change: the headroom is a share of all accelerators. dominantShare() is declared in scarcity_order.h for admission.

Tests: no test of its own, as the test site has one service.

--- a/src/batch/scarcity_order.cpp
+++ b/src/batch/scarcity_order.cpp
@@ -30,7 +30,8 @@
     double lastDueInMs = 0;         ///< three times the objective
 };
 
-/// Share of `total` that `need` takes of its scarcest resource.
+} // namespace
+
 double dominantShare(const resources &need, const resources &total)
 {
     const auto share = [](std::int64_t part, std::int64_t whole) {
@@ -41,8 +42,6 @@
                      share(need.accelerators, total.accelerators)});
 }
 
-} // namespace
-
 bool startsBefore(const waiting_unit &a, const waiting_unit &b)
 {
     const auto rank = [](const waiting_unit &unit) {
@@ -140,9 +139,15 @@
 capacity_forecast plan_maker::forecastFor(const std::string &service, const resources &total,
                                           const std::vector<waiting_unit> &units) const
 {
-    const double headroomShare = total.accelerators <= 0
+    // The headroom is that of the whole site.
+    std::int64_t accelerators = 0;
+    for (const worker_availability &worker : workers) {
+        if (takesWork(worker))
+            accelerators += worker.description->capacity.accelerators;
+    }
+    const double headroomShare = accelerators <= 0
         ? 0.0
-        : static_cast<double>(headroom) / static_cast<double>(total.accelerators);
+        : static_cast<double>(headroom) / static_cast<double>(accelerators);
     capacity_forecast forecast(std::max(0.0, 1.0 - headroomShare));
     for (const active_run &run : runs) {
         const batch_step &step = run.job->job.steps[run.unit->step];
@@ -210,6 +215,7 @@
     }
     capacity_forecast forecast = forecastFor(service, total, *units);
     std::vector<due_work> work;
+    work.reserve(candidates.size() + late.size());
     for (const waiting_step *group : candidates)
         work.push_back(group->inTime);
     const std::vector<bool> missesObjective = lateWork(work, forecast);
--- a/src/batch/scarcity_order.h
+++ b/src/batch/scarcity_order.h
@@ -1,11 +1,16 @@
 /// @file Choice of the work that still ends in time while there is more than can.
 #pragma once
 
+#include "hyssoppond/batch/batch_type.h"
+
 #include <cstddef>
 #include <vector>
 
 namespace hyssoppond::batch {
 
+/// Share of `total` that `need` takes of its scarcest resource.
+double dominantShare(const resources &need, const resources &total);
+
 /// Work of one caller that has to end by one time. Work is measured in milliseconds of the whole
 /// capacity, times in milliseconds from now.
 struct due_work
