Submissions that cannot be served any more are refused at once

Cause: under overload each job was accepted, waited and ended when it was of no use any more. A job that no worker can hold waited for ever.

Recording moves to batch_entry_submit.cpp.

--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -80,6 +80,8 @@
     /// Stops deciding and leaves the group, so that another entry takes over at once.
     void leave();
     bool isDeciding() const { return m_phase == phase::Deciding; }
+    /// Learned from the journal, also while another entry decides.
+    const item_time_model &runTimes() const { return m_scheduler.runTimes(); }
 
     /// Called with each decision for the log: the decision, its subject, and its inputs and reason.
     /// The text `decision` is also the name of a metric and therefore stays.
--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "hyssoppond/base/error_type.h"
+#include "hyssoppond/batch/admission_rule_base.h"
 #include "hyssoppond/batch/batch_decider_base.h"
 
 #include <optional>
+#include <set>
 #include <string>
 
 namespace hyssoppond::batch {
@@ -133,6 +135,13 @@
     static job_reply replyFor(const error &problem);
     job_reply refusal(reason why, std::string message) const;
     void submit(const routed_call &target, job_call call, const responder &respond);
+    /// Refuses the job if it cannot be served any more; empty: it is to be recorded.
+    std::optional<admission_refusal> admissionRefusal(const batch_job &job);
+    /// Answers with the refusal, unless the journal shows or may show that the job is accepted.
+    void refuseAdmission(batch_job job, admission_refusal refused, absl::Time callDeadline,
+                         const responder &respond);
+    static job_reply replyForKnown(const job_state &known, const team_id &team);
+    void recordJob(batch_job job, absl::Time callDeadline, const responder &respond);
     void status(const routed_call &target, const job_call &call, const responder &respond);
     void cancel(const routed_call &target, const job_call &call, const responder &respond);
     void pending(const routed_call &target, const responder &respond) const;
@@ -143,6 +152,9 @@
     /// Advised delay before a refused call is repeated.
     absl::Duration retryAfter() const;
 
+    /// Time before the caller's deadline that is reserved for the answer to arrive.
+    static constexpr absl::Duration AnswerMargin = absl::Milliseconds(150);
+
     batch_entry_options m_options;
     loop_hooks m_hooks;
     batch_state m_state;
@@ -152,6 +164,11 @@
     log_follower m_journal;
     log_writer m_writer;
     batch_decider m_decider;
+    admission_rule m_admission;
+    /// Jobs whose record this entry has begun to write and that the journal has not shown yet, once
+    /// for each attempt that may still be recorded.
+    std::multiset<job_id> m_recording;
+    absl::Time m_journalLoadedAt = absl::InfiniteFuture(); ///< for the first time
     bool m_leaving = false;
     absl::Time m_storeUnreachableSince = absl::InfiniteFuture();
 };
--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -110,6 +110,7 @@
     void learn(const ended_member &ended, const batch_state &state);
     /// Drops the learned run times before the journal is replayed, which teaches them again.
     void forgetRunTimes() { m_times = {}; }
+    const item_time_model &runTimes() const { return m_times; }
     /// Sets or ends the quarantine of a worker according to the end of a run on it.
     void observe(const ended_member &ended, const batch_state &state, absl::Time now);
     /// Decisions that are due, in the order in which they are to be recorded.
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -14,12 +14,6 @@
 /// A submission is refused at once while an append has been without an outcome for this long.
 constexpr absl::Duration MaxStoreStall = absl::Milliseconds(700);
 
-/// Longest wait for a submission to be recorded; a quarter of the shortest objective, about 4 s.
-constexpr absl::Duration RecordTimeout = absl::Milliseconds(1500);
-
-/// Time before the caller's deadline that is reserved for the answer to arrive.
-constexpr absl::Duration AnswerMargin = absl::Milliseconds(150);
-
 /// An entry is not ready for new connections if its journal or configuration is older than this.
 constexpr absl::Duration ReadyMaxStaleness = absl::Milliseconds(3500);
 
@@ -68,6 +62,7 @@
         logDecision("journal loaded", "",
                     absl::StrCat(records.size(), " records, ", toString(m_journal.lastLoad())));
         applyJournal(records);
+        m_journalLoadedAt = std::min(m_journalLoadedAt, m_hooks.now());
         m_decider.onReloaded();
         tick();
     };
@@ -139,6 +134,10 @@
             m_state.apply(*record, storedRecord.offset);
             if (const auto *eviction = std::get_if<agent_evicted>(&*record))
                 m_decider.onEviction(*eviction);
+            if (const auto *announced = std::get_if<agent_announced>(&*record))
+                m_admission.onAnnounced(*announced);
+            if (const auto *submitted = std::get_if<job_submitted>(&*record))
+                m_recording.erase(submitted->job.id);
         }
     }
 }
@@ -310,13 +309,7 @@
 {
     const job_id id(target.id);
     if (const job_state *known = m_state.find(id)) {
-        job_reply reply;
-        reply.kind = reply_kind::Accepted;
-        if (known->job.team != target.team)
-            reply = replyFor({reason::RequestIdReused,
-                              "the id belongs to another job; choose another", execution::NotRun,
-                              absl::InfiniteFuture(), 0});
-        respond(reply);
+        respond(replyForKnown(*known, target.team));
         return;
     }
     if (!call.job) {
@@ -343,34 +336,11 @@
     job.queue = target.queue->name;
     job.team = target.team;
     job.submittedMs = absl::ToUnixMillis(m_hooks.wallNow());
-    const batch_step &first = job.steps.front();
-    std::string summary = absl::StrCat("queue ", job.queue, ", ", first.count, " items of ",
-                                       first.item.accelerators, " accelerators, ", first.estimateMs,
-                                       " ms, ", job.steps.size(), " steps");
-    const batch_record record = job_submitted {std::move(job)};
-    // A caller may be unable to repeat a call of unknown outcome, so the writer waits for the
-    // outcome as long as the caller waits.
-    const absl::Time settleBy = call.deadline - AnswerMargin;
-    const absl::Time deadline = std::min(settleBy, m_hooks.now() + RecordTimeout);
-    m_writer.write(
-        {{keyOf(record), encodeRecord(record), 0}}, deadline, settleBy,
-        [this, id, respond, summary = std::move(summary)](write_result writeResult,
-                                                          std::uint64_t offset) {
-            job_reply reply;
-            if (writeResult == write_result::Written) {
-                reply.kind = reply_kind::Accepted;
-                logDecision("job accepted", id.str(), absl::StrCat(summary, ", offset ", offset));
-            } else if (writeResult == write_result::NotWritten) {
-                reply = refusal(reason::LogUnavailable, "the job was not recorded; retry");
-            } else {
-                reply.kind = reply_kind::Unknown;
-                reply.why = reason::LogUnsettled;
-                reply.message
-                    = "the store did not say whether the job was recorded; repeat the call";
-                logDecision("job unsettled", id.str(), "the store did not confirm the record");
-            }
-            respond(reply);
-        });
+    std::optional<admission_refusal> refused = admissionRefusal(job);
+    if (refused)
+        refuseAdmission(std::move(job), std::move(*refused), call.deadline, respond);
+    else
+        recordJob(std::move(job), call.deadline, respond);
 }
 
 void batch_entry::withJob(const routed_call &target, absl::Time deadline, const responder &respond,
