--- a/src/batch/admission_rule.cpp
+++ b/src/batch/admission_rule.cpp
@@ -70,16 +70,18 @@
         for (std::uint32_t stepIndex = 0; stepIndex < occurrence.steps.size(); ++stepIndex) {
             const batch_step &step = job.job.steps[stepIndex];
             const auto &units = occurrence.steps[stepIndex].units;
+            const auto waiting = static_cast<std::size_t>(
+                std::count_if(units.begin(), units.end(),
+                              [](const unit_state &unit) { return !unit.done && !unit.active; }));
             const bool isReady = std::all_of(step.dependsOn.begin(), step.dependsOn.end(),
                                              [&](std::uint32_t dependency) {
                                                  return occurrence.steps[dependency].unitsLeft == 0;
                                              });
+            if (waiting == 0 || !isReady)
+                continue;
             const unix_ms stepLastMs = lastStartOf(job.job, queue, stepIndex, dueMs, *input.times);
-            if (!isReady || stepLastMs < input.nowMs || stepLastMs > lastStartMs)
+            if (stepLastMs < input.nowMs || stepLastMs > lastStartMs)
                 continue;
-            const auto waiting = static_cast<std::size_t>(
-                std::count_if(units.begin(), units.end(),
-                              [](const unit_state &unit) { return !unit.done && !unit.active; }));
             const double stepMs = workOf(job.job, step, waiting, total, *input.times);
             if (stepMs <= workMs)
                 ahead += stepMs;
--- a/tests/batch_admission_test.cpp
+++ b/tests/batch_admission_test.cpp
@@ -137,5 +137,24 @@
     EXPECT_EQ(status->kind, reply_kind::NoJob);
 }
 
+// A store that carries out records late, shortly before the rule applies. Guards against a refusal
+// of a job that an earlier attempt records afterwards. The second attempt comes before the entry
+// repeats the record through a peer, which it does after 0.3 s.
+TEST(batch_admission_site_test, jobThatMayStillBeRecordedIsNotRefused)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        batch_site site(seed);
+        site.clock.runFor(absl::Milliseconds(29'900));
+        const std::string id = batch_site::idOf(3);
+        const batch_step tooLarge = batch_site::stepOf(1, 9, false);
+        site.store.faults["entry-0"].executeLate = 1.0;
+        site.submit("entry-0", id, "normal", tooLarge);
+        site.clock.runFor(absl::Milliseconds(200));
+        const auto reply = site.submit("entry-0", id, "normal", tooLarge);
+        site.clock.runFor(absl::Seconds(8));
+        EXPECT_NE(reply->why, reason::ImpossibleShape) << "seed " << seed;
+    }
+}
+
 } // namespace
 } // namespace hyssoppond::batch
