A run beyond use counts the work that its stop throws away

Cause: such a run counted as free to stop.

Change: it counts its lost work without the additions for work that a stop makes late or useless.

--- a/src/batch/preemption_cost.cpp
+++ b/src/batch/preemption_cost.cpp
@@ -71,7 +71,7 @@
         const std::int64_t restartedMs = step.checkpointed ? leftMs + lostMs : expectedMs;
         const int lateness = latenessOfEnd(run, input.nowMs + leftMs);
         if (lateness == 2) {
-            lostSeconds = 0;
+            // No caller loses by the stop, but the work done so far is thrown away all the same.
             cost.why = "its work is of no use any more";
         } else if (latenessOfEnd(run, input.nowMs + stopMs + restartedMs) > lateness) {
             // Its caller loses more than the time: all of the run's work then ends too late.
