--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -22,6 +22,9 @@
     absl::Duration reclaimWithin = absl::Milliseconds(2'900);
     /// Longest time that the stop of a run takes; set by the platform.
     absl::Duration stopTime = absl::Milliseconds(900);
+    /// Time between two checkpoints of a run that saves its progress; set by the platform. Zero:
+    /// not known, a stop loses no work since the newest one.
+    absl::Duration checkpointInterval = absl::ZeroDuration();
     /// Quarantine of a worker after a failed item; doubles with further failures.
     absl::Duration failureQuarantine = absl::Seconds(4);
     /// Quarantine of a worker after it refused an item.
@@ -64,6 +67,15 @@
     std::string why;
 };
 
+/// What the order of waiting units expects of a unit when not all work can end in time.
+enum class start_class : std::uint8_t {
+    InTime,   ///< it ends in time, or there is no shortage
+    Late,     ///< put off, as others end in time only without it; it ends late
+    Hopeless, ///< put off until it is of no use any more, unless capacity becomes free
+};
+
+inline constexpr name_table<start_class, 3> StartClassNames {{"InTime", "Late", "Hopeless"}};
+
 /// A unit that can start now.
 struct waiting_unit
 {
@@ -80,6 +92,14 @@
     /// Slowest worker on which the unit still ends in time or, if late, before it is of no use.
     double maxSlowness = 1.0;
     bool guaranteed = false; ///< urgent, and its team's guarantee covers it
+    /// Latest start to end within three times the objective.
+    unix_ms lastStartMs = 0;
+    start_class startClass = start_class::InTime;
+    double serveCost = 0; ///< orders units that end too late, see due_work::cost
+
+    /// Urgent units go first, except late ones without a guarantee: these are worth less than other
+    /// work that is in time.
+    bool goesFirst() const { return queue->priority == 0 && (lateness == 0 || guaranteed); }
 };
 
 /// Makes the plans. Between plans it keeps only learned run times, quarantines and claims.
@@ -137,6 +157,8 @@
     std::deque<learnable_run> m_replayedRuns; ///< of the present replay, not learned yet
     /// Workers that are being cleared for an urgent unit, one entry for each member.
     std::map<unit_id, std::vector<process_id>> m_claims;
+    /// Time of the order of units that were started lately on capacity which stops freed.
+    std::map<unit_id, unix_ms> m_startedByStops;
 };
 
 /// Expected time of the longest chain of dependent steps among those from `firstStep` on, in ms.
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -166,11 +166,16 @@
     maker.stopBrokenRuns();
     maker.computeHeadroom();
     maker.claims = std::move(m_claims);
+    maker.startedByStops = std::move(m_startedByStops);
+    std::erase_if(maker.startedByStops, [&](const auto &started) {
+        return input.nowMs - started.second > absl::ToInt64Milliseconds(m_options.reclaimWithin);
+    });
     const std::vector<waiting_unit> units = maker.waitingUnits();
     maker.reserveClaims(units);
     for (const waiting_unit &unit : units)
         maker.place(unit);
     m_claims = std::move(maker.keptClaims);
+    m_startedByStops = std::move(maker.startedByStops);
     return std::move(maker.decisions);
 }
 
@@ -300,17 +305,9 @@
                 continue;
             }
             const auto found = workerIndexes.find(member.member.agent.str());
-            if (found == workerIndexes.end() || !workers[found->second].description->draining)
-                continue;
-            // A run that cannot end before its worker leaves is stopped early, while little
-            // work is lost, and starts again elsewhere.
-            const unix_ms expectedEndMs = run.state->orderedMs
-                + times.expectedMs(run.job->job.queue,
-                                   run.job->job.steps[run.unit->step].estimateMs,
-                                   run.job->job.team);
-            const unix_ms workerLeavesMs = workers[found->second].description->earliestLeaveMs;
-            outlivesWorker
-                = outlivesWorker || (workerLeavesMs != 0 && expectedEndMs > workerLeavesMs);
+            outlivesWorker = outlivesWorker
+                || (found != workerIndexes.end()
+                    && mustLeaveNow(run, *workers[found->second].description));
         }
         if (outlivesWorker)
             stopRun(run, "its worker leaves before the expected end of the run");
@@ -349,13 +346,12 @@
             unit.members = step.gang ? step.count : 1;
             unit.expectedMs = times.expectedMs(queue->name, step.estimateMs, job.job.team);
             unit.guaranteed = queue->priority == 0 && isGuaranteed(unit);
+            // A late unit is still of use up to three times its objective.
             unit.latestStartMs = dueMs + objectiveMs - remainingMs;
+            unit.lastStartMs = dueMs + 3 * objectiveMs - remainingMs;
             if (unit.latestStartMs < input.nowMs) {
-                unit.lateness = 1;
-                // A late unit is still of use up to three times its objective.
-                unit.latestStartMs = dueMs + 3 * objectiveMs - remainingMs;
-                if (unit.latestStartMs < input.nowMs)
-                    unit.lateness = 2;
+                unit.lateness = unit.lastStartMs < input.nowMs ? 2 : 1;
+                unit.latestStartMs = unit.lastStartMs;
             }
             unit.maxSlowness
                 = static_cast<double>(unit.latestStartMs + unit.expectedMs - input.nowMs)
@@ -378,18 +374,8 @@
     std::vector<waiting_unit> units;
     for (const job_state *job : openJobs)
         addUnits(*job, &units);
-    std::stable_sort(units.begin(), units.end(), [](const waiting_unit &a, const waiting_unit &b) {
-        // Urgent units go first, except late ones without a guarantee: these are worth less than
-        // other work that is in time.
-        const auto goesFirst = [](const waiting_unit &unit) {
-            return unit.queue->priority == 0 && (unit.lateness == 0 || unit.guaranteed);
-        };
-        if (goesFirst(a) != goesFirst(b))
-            return goesFirst(a);
-        if (a.lateness != b.lateness)
-            return a.lateness < b.lateness;
-        return a.latestStartMs < b.latestStartMs;
-    });
+    putOffLateWork(&units);
+    std::stable_sort(units.begin(), units.end(), startsBefore);
     return units;
 }
 
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -3,15 +3,21 @@
 
 #include "hyssoppond/batch/batch_scheduler_base.h"
 
+#include "scarcity_order.h"
+
 #include <absl/container/flat_hash_map.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace hyssoppond::batch {
 
+/// Order of the waiting units, the most important first.
+bool startsBefore(const waiting_unit &a, const waiting_unit &b);
+
 /// Makes the decisions of one plan. Created for one plan and then dropped.
 struct plan_maker
 {
@@ -29,7 +35,8 @@
     /// Part of `headroom` that stays free on workers that run nothing, for items that need more
     /// than half of a worker.
     std::int64_t wholeHeadroom = 0;
-    std::uint32_t reservations = 0; ///< gangs for which capacity is reserved in this plan
+    std::uint32_t reservations = 0;       ///< gangs for which capacity is reserved in this plan
+    std::uint32_t urgentReservations = 0; ///< urgent units for which capacity is reserved
 
     /// Active run of an item or a gang.
     struct active_run
@@ -55,6 +62,19 @@
         const queue_policy *queue = nullptr;
     };
 
+    /// What stopping a run costs.
+    struct stop_cost
+    {
+        double coreSeconds = 0; ///< work thrown away, and what else the stop counts for
+        bool endsSoon = false;  ///< expected to end within the time that a stop takes
+        std::string why;        ///< why it is not just the work since the newest checkpoint
+    };
+
+    /// Time of the order of units that were started on capacity which stops freed.
+    std::map<unit_id, unix_ms> startedByStops = {};
+    /// See stopCostOf(), by index in `runs`.
+    mutable std::vector<std::optional<stop_cost>> stopCosts = {};
+
     std::vector<unplaced_shape> unplaced = {};
     /// Queues that were looked up, by name; see queueOf().
     mutable absl::flat_hash_map<std::string_view, const queue_policy *> knownQueues = {};
@@ -93,6 +113,16 @@
     void noteUnplaceable(const waiting_unit &unit);
     /// Members of the unit's step on each worker, for steps with a limit of them.
     std::vector<std::uint32_t> &membersOfStep(const waiting_unit &unit) const;
+    /// Sets the start class of units that are better put off, as not all work can end in time.
+    void putOffLateWork(std::vector<waiting_unit> *units) const;
+    /// The same for one service, whose workers have `total` in all.
+    void putOffLateWork(const std::string &service, const resources &total,
+                        std::vector<waiting_unit> *units) const;
+    /// Capacity of the service that runs, `units` that go first and the headroom leave.
+    capacity_forecast forecastFor(const std::string &service, const resources &total,
+                                  const std::vector<waiting_unit> &units) const;
+    /// Share of the work of an occurrence that is done or runs.
+    double investedShare(const job_state &job, std::uint32_t occurrence) const;
     bool placeNow(const waiting_unit &unit);
     /// True if new work of some kind may be ordered from the worker now.
     static bool takesWork(const worker_availability &worker);
@@ -138,6 +168,13 @@
     /// True if `wholeHeadroom` accelerators stay free on idle workers when work that is not urgent
     /// starts on the workers `chosen`.
     bool leavesIdleWorkers(const std::vector<std::size_t> &chosen) const;
+    /// Reserves the capacity that a waiting urgent unit will take, so that no work starts there
+    /// only to be stopped for it.
+    void reserveForUrgent(const waiting_unit &unit);
+    /// True if the run has to be stopped now, as `worker` leaves before it ends.
+    bool mustLeaveNow(const active_run &run, const worker_description &worker) const;
+    /// True if the run's members fit on workers that take work.
+    bool hasRoomElsewhere(const active_run &run) const;
     /// Reserves the workers of the rack with the most free accelerators for a waiting gang.
     void reserveForGang(const waiting_unit &unit);
     /// Reserves the workers and keeps them for the unit in the next plans.
@@ -154,7 +191,9 @@
     {
         std::size_t run = 0; ///< index in `runs`
         resources here;      ///< resources of its members on the worker
-        double cost = 0;     ///< core-seconds, see preemptionCost()
+        double cost = 0;     ///< core-seconds, see stop_cost
+        /// It is not stopped, as it is expected to end as soon as a stop would.
+        bool endsSoon = false;
     };
     /// Cheapest way to make room for one more member on one worker.
     struct preemption_option
@@ -171,10 +210,10 @@
     };
     struct preemption_plan
     {
-        std::vector<std::size_t> chosen;  ///< indexes in `workers`, one for each member
-        std::vector<std::size_t> victims; ///< indexes in `runs`
-        double cost = 0;                  ///< core-seconds
-        bool isTooCostly = false;         ///< given up at the highest cost
+        std::vector<std::size_t> chosen; ///< indexes in `workers`, one for each member
+        std::vector<victim> victims;
+        double cost = 0;          ///< core-seconds
+        bool isTooCostly = false; ///< given up at the highest cost
     };
 
     /// True if the urgent runs of the unit's team stay within its guarantee when the unit starts.
@@ -189,11 +228,22 @@
     /// if not enough can be preempted for at most `maxCost` core-seconds.
     preemption_plan planPreemption(const waiting_unit &unit, const worker_filter &accept,
                                    double maxCost) const;
+    /// The cheapest plan for `unit` in the racks that it prefers or, if it may, anywhere.
+    preemption_plan cheapestStops(const waiting_unit &unit, double maxCost) const;
     /// Finds the cheapest stops for one more member; runs in `stoppedRuns` are free already.
     void evaluate(preemption_option *option, const waiting_unit &unit,
                   const std::vector<bool> &stoppedRuns) const;
-    /// Cost of stopping a run, in core-seconds.
-    double preemptionCost(const active_run &run) const;
+    /// Lateness of the run's job if the run ends at `endMs`: 0 in time, 1 late, 2 of no use.
+    int latenessOfEnd(const active_run &run, unix_ms endMs) const;
+    stop_cost computeStopCost(const active_run &run) const;
+    /// Cost of stopping the run with this index in `runs`.
+    const stop_cost &stopCostOf(std::size_t run) const;
+    /// The cost and its reason, as the log gives them with a stop.
+    std::string describeStop(std::size_t run) const;
+    /// Takes out the stops that later, larger ones have made needless. `options` holds the
+    /// resources that the plan leaves on each worker.
+    void dropNeedlessStops(const std::vector<preemption_option> &options,
+                           preemption_plan *plan) const;
     /// True if runs of the job `victimJob` may be stopped for `unit`.
     bool mayPreempt(const waiting_unit &unit, const job_state &victimJob) const;
     /// Accelerators that the team's urgent runs use.
--- a/tests/plan_site_base.h
+++ b/tests/plan_site_base.h
@@ -18,7 +18,8 @@
 public:
     static constexpr std::int64_t Guarantee = 16; ///< accelerators of team "a"
 
-    explicit plan_site(std::size_t workers)
+    explicit plan_site(std::size_t workers, scheduler_options options = {})
+        : m_scheduler(options)
     {
         m_config.version = 1;
         m_config.queues = {queueOf("urgent", 0, 1.5, 300), queueOf("normal", 1, 3.0, 1'000),
@@ -84,21 +85,30 @@
     void end(const std::string &id, run_end how = run_end::Done, std::int64_t runTimeMs = 0)
     {
         const auto units = m_state.find(job_id(id))->activeUnits;
-        for (const unit_id &unit : units) {
-            const run_state run = *m_state.findUnit(unit)->active;
-            for (const member_state &memberState : run.members) {
-                run_ended ended;
-                ended.unit = unit;
-                ended.run = run.run;
-                ended.member = memberState.member.index;
-                ended.agent = memberState.member.agent;
-                ended.how = how;
-                ended.runTimeMs = runTimeMs;
-                apply(ended);
-            }
+        for (const unit_id &unit : units)
+            endUnit(unit, how, runTimeMs);
+    }
+
+    /// Records the end of the active run of a unit.
+    void endUnit(const unit_id &unit, run_end how, std::int64_t runTimeMs = 0,
+                 const std::string &checkpoint = "")
+    {
+        const run_state run = *m_state.findUnit(unit)->active;
+        for (const member_state &memberState : run.members) {
+            run_ended ended;
+            ended.unit = unit;
+            ended.run = run.run;
+            ended.member = memberState.member.index;
+            ended.agent = memberState.member.agent;
+            ended.how = how;
+            ended.runTimeMs = runTimeMs;
+            ended.checkpoint = checkpoint;
+            apply(ended);
         }
     }
 
+    bool runs(const unit_id &unit) const { return m_state.findUnit(unit)->active.has_value(); }
+
     /// Advances the clock by `ms`, which may be negative.
     void advance(std::int64_t ms) { m_nowMs += ms; }
 
@@ -155,6 +165,15 @@
         m_scheduler.learnReplayed(m_state);
     }
 
+    /// Announces that a worker drains, and leaves in `leavesInMs` at the earliest.
+    void drain(std::size_t number, std::int64_t leavesInMs)
+    {
+        agent_announced announced = m_state.agents().at(agentOf(number));
+        announced.worker.draining = true;
+        announced.worker.earliestLeaveMs = m_nowMs + leavesInMs;
+        apply(announced);
+    }
+
 private:
     static constexpr unix_ms WorkerStartMs = 1;
 
@@ -192,7 +211,7 @@
     site_config m_config;
     std::vector<batch_record> m_records;
     batch_state m_state;
-    batch_scheduler m_scheduler {scheduler_options {}};
+    batch_scheduler m_scheduler;
     unix_ms m_nowMs = 1'000'000;
     std::uint64_t m_offset = 0;
 };
