Continue accepted jobs whose queue is removed

The record of an accepted job now holds the policy of its queue. Records of earlier versions end before it and load as before. plan_maker::queueOf takes the job: a configured queue goes first, the policy of the acceptance applies once the queue is removed. plan_preempt.cpp and plan_headroom.cpp still look up by name, which finds the policy of some open job of a removed queue.

Status and cancel of a known job are answered at the path where it was accepted, for its team only, also when the queue is gone; submissions get 404 and keys that are not in force 401.

--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -119,9 +119,10 @@
 private:
     struct routed_call
     {
-        const queue_policy *queue = nullptr;
+        const queue_policy *queue = nullptr; ///< null for an accepted job whose queue is removed
         std::string id;
-        team_id team;
+        team_id team;   ///< that a submission is for; empty if the queue is public
+        team_id caller; ///< of the caller's key, also where none is needed; empty: no valid key
     };
 
     void logDecision(const char *decision, const std::string &item,
@@ -130,6 +131,15 @@
     void applyJournal(const std::vector<stored_record> &records);
     /// Finds the queue and the team of a call. Errors: UnknownEndpoint, UnknownTeam.
     result<routed_call> route(const job_call &call) const;
+    /// The same for a call about an accepted job at the path where it was accepted, which leads to
+    /// no queue any more.
+    result<routed_call> routeToAccepted(const job_call &call, const job_state &job) const;
+    /// The known job that was accepted at the host and path of `call`; null if there is none.
+    const job_state *acceptedAt(const job_call &call) const;
+    const batch_team *teamWithKey(const std::string &key) const;
+    /// True if the caller may see and cancel `job`: it is of the caller's team, or of nobody.
+    static bool mayAccess(const routed_call &target, const job_state &job);
+    static bool isJobId(const std::string &text);
     static job_reply replyFor(const error &problem);
     job_reply refusal(reason why, std::string message) const;
     void submit(const routed_call &target, job_call call, const responder &respond);
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -5,12 +5,14 @@
 #include "hyssoppond/base/error_type.h"
 #include "hyssoppond/batch/batch_type.h"
 
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/utility.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
 #include <limits>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -28,10 +30,20 @@
 struct job_submitted
 {
     batch_job job;
+    /// Policy of its queue at the acceptance, which applies once the queue is removed.
+    std::optional<queue_policy> policy {};
     template<class archive>
-    void serialize(archive &ar)
+    void save(archive &ar) const
+    {
+        ar(job, policy);
+    }
+    /// Records of earlier versions end before policy.
+    template<class archive>
+    void load(archive &ar)
     {
         ar(job);
+        if (ar.remaining() != 0)
+            ar(policy);
     }
 };
 
--- a/include/hyssoppond/batch/batch_state_base.h
+++ b/include/hyssoppond/batch/batch_state_base.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -57,6 +58,8 @@
 struct job_state
 {
     batch_job job;
+    /// Policy of its queue at the acceptance; null if an earlier version recorded the job.
+    std::shared_ptr<const queue_policy> acceptedPolicy;
     bool cancelled = false;
     bool failed = false;
     bool started = false;              ///< a run of some item was ordered
@@ -140,6 +143,8 @@
     void applyRecord(const process_ending &record);
     void applyRecord(const zone_evacuated &record);
 
+    /// A shared copy of `policy`. Most jobs of a queue were accepted under the same one.
+    std::shared_ptr<const queue_policy> sharedPolicy(const queue_policy &policy);
     unit_state *mutableUnit(const unit_id &unit);
     void endMember(const unit_id &unit, unit_state *state, member_state *member, run_end how,
                    const std::string &checkpoint, end_evidence evidence,
@@ -147,6 +152,8 @@
     void closeRun(const unit_id &unit, unit_state *state);
 
     std::map<job_id, job_state> m_jobs;
+    /// Newest policy of each queue under which a job was accepted, by the name of the queue.
+    std::map<std::string, std::shared_ptr<const queue_policy>> m_policies;
     std::map<process_id, agent_announced> m_agents;
     std::set<process_id> m_evicted;
     std::set<process_id> m_ending;
--- a/include/hyssoppond/batch/batch_type.h
+++ b/include/hyssoppond/batch/batch_type.h
@@ -166,6 +166,15 @@
     std::int64_t latencyGoalMs = 0; ///< constant part of the objective, added to that multiple
     bool isPublic = false;          ///< callers need no key
     bool needsAdvice = false;       ///< starts need a ticket of the advice service
+
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(name, host, urlPrefix, service, priority, maxAttempts, stretch, latencyGoalMs, isPublic,
+           needsAdvice);
+    }
+
+    bool operator==(const queue_policy &) const = default;
 };
 
 /// A team with its keys and its guarantee.
--- a/src/batch/batch_check.cpp
+++ b/src/batch/batch_check.cpp
@@ -29,6 +29,18 @@
 /// unit.
 constexpr std::uint32_t MaxRun = std::numeric_limits<std::uint32_t>::max() / 4;
 
+/// Upper bounds of the numbers in the policy of a queue, as for those of a configuration.
+constexpr std::int64_t MaxPolicyNumber = 1'000'000'000;
+constexpr double MaxStretch = 1e6;
+
+bool isPolicyInRange(const queue_policy &policy)
+{
+    // A comparison with NaN is false.
+    return policy.stretch > 0.0 && policy.stretch <= MaxStretch && policy.priority >= 0
+        && policy.priority <= MaxPolicyNumber && policy.maxAttempts <= MaxPolicyNumber
+        && policy.latencyGoalMs >= 0 && policy.latencyGoalMs <= MaxPolicyNumber;
+}
+
 } // namespace
 
 result<void> checkJob(const batch_job &job)
@@ -84,6 +96,8 @@
     if (const auto *submitted = std::get_if<job_submitted>(&record)) {
         if (submitted->job.submittedMs < 0 || submitted->job.submittedMs > MaxUnixMs)
             return fail(reason::InvalidArgument, "the time of the submission is out of range");
+        if (submitted->policy && !isPolicyInRange(*submitted->policy))
+            return fail(reason::InvalidArgument, "the policy of the queue is out of range");
         return checkJob(submitted->job);
     }
     if (const auto *ordered = std::get_if<run_ordered>(&record)) {
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -1,8 +1,6 @@
 /// @file Implementation of the entry of batch jobs.
 #include "hyssoppond/batch/batch_entry_base.h"
 
-#include <absl/strings/ascii.h>
-#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -36,9 +34,6 @@
 constexpr absl::Duration StandbyReadInterval = absl::Milliseconds(50);
 constexpr absl::Duration StandbyReadIntervalWithWakes = absl::Milliseconds(500);
 
-/// Digits of a job id.
-constexpr std::size_t JobIdDigits = 16;
-
 } // namespace
 
 batch_entry::batch_entry(batch_entry_options options, store_port *store, loop_hooks hooks)
@@ -235,30 +230,6 @@
     return reply;
 }
 
-result<batch_entry::routed_call> batch_entry::route(const job_call &call) const
-{
-    routed_call target;
-    for (const queue_policy &queue : m_config->queues) {
-        if (queue.host != call.host || !absl::StartsWith(call.path, queue.urlPrefix))
-            continue;
-        if (target.queue == nullptr || queue.urlPrefix.size() > target.queue->urlPrefix.size())
-            target.queue = &queue;
-    }
-    if (target.queue == nullptr)
-        return fail(reason::UnknownEndpoint, "no such queue; check the host and the path");
-    target.id = call.path.substr(target.queue->urlPrefix.size());
-    if (target.queue->isPublic)
-        return target;
-    for (const batch_team &team : m_config->teams) {
-        if (std::find(team.keys.begin(), team.keys.end(), call.key) != team.keys.end()) {
-            target.team = team.id;
-            return target;
-        }
-    }
-    return fail(reason::UnknownTeam,
-                "the key is not in force; use a key of the team that is in force");
-}
-
 void batch_entry::handle(job_call call, const responder &respond)
 {
     if (!m_config) {
@@ -278,11 +249,7 @@
     if (call.kind == call_kind::Status && target->id.empty())
         call.kind = call_kind::Pending;
     if (call.kind != call_kind::Pending) {
-        const bool wellFormed = target->id.size() == JobIdDigits
-            && std::all_of(target->id.begin(), target->id.end(), [](char c) {
-                                    return absl::ascii_isxdigit(static_cast<unsigned char>(c));
-                                });
-        if (!wellFormed) {
+        if (!isJobId(target->id)) {
             respond(replyFor(
                 {call.kind == call_kind::Submit ? reason::InvalidArgument : reason::UnknownJob,
                  "the job's id is malformed; use 16 hexadecimal digits", execution::NotRun,
@@ -347,7 +314,7 @@
     std::string summary = absl::StrCat("queue ", job.queue, ", ", first.count, " items of ",
                                        first.item.accelerators, " accelerators, ", first.estimateMs,
                                        " ms, ", job.steps.size(), " steps");
-    const batch_record record = job_submitted {std::move(job)};
+    const batch_record record = job_submitted {std::move(job), *target.queue};
     // A caller may be unable to repeat a call of unknown outcome, so the writer waits for the
     // outcome as long as the caller waits.
     const absl::Time settleBy = call.deadline - AnswerMargin;
@@ -383,25 +350,24 @@
     };
     if (const job_state *known = m_state.find(id)) {
         // A job of another team is answered as if it did not exist.
-        if (known->job.team == target.team)
+        if (mayAccess(target, *known))
             found(*known);
         else
             respond(noJobReply());
         return;
     }
     // Another entry may have accepted the job since the last read of the journal.
-    m_journal.barrier(deadline - AnswerMargin,
-                      [this, id, team = target.team, respond, found, noJobReply](bool current) {
-                          const job_state *known = m_state.find(id);
-                          if (known != nullptr && known->job.team == team)
-                              found(*known);
-                          else if (current)
-                              respond(noJobReply());
-                          else
-                              respond(
-                                  refusal(reason::LogUnavailable,
-                                          "the store does not say whether the job exists; retry"));
-                      });
+    m_journal.barrier(
+        deadline - AnswerMargin, [this, id, target, respond, found, noJobReply](bool current) {
+            const job_state *known = m_state.find(id);
+            if (known != nullptr && mayAccess(target, *known))
+                found(*known);
+            else if (current)
+                respond(noJobReply());
+            else
+                respond(refusal(reason::LogUnavailable,
+                                "the store does not say whether the job exists; retry"));
+        });
 }
 
 void batch_entry::status(const routed_call &target, const job_call &call, const responder &respond)
--- /dev/null
+++ b/src/batch/batch_entry_route.cpp
@@ -0,0 +1,98 @@
+/// @file Which queue and team a call is for, and which jobs its caller may see and cancel.
+#include "hyssoppond/batch/batch_entry_base.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+
+#include <algorithm>
+
+namespace hyssoppond::batch {
+
+namespace {
+
+/// Digits of a job id.
+constexpr std::size_t JobIdDigits = 16;
+
+} // namespace
+
+bool batch_entry::isJobId(const std::string &text)
+{
+    return text.size() == JobIdDigits && std::all_of(text.begin(), text.end(), [](char c) {
+               return absl::ascii_isxdigit(static_cast<unsigned char>(c));
+           });
+}
+
+const batch_team *batch_entry::teamWithKey(const std::string &key) const
+{
+    const auto found
+        = std::find_if(m_config->teams.begin(), m_config->teams.end(), [&](const batch_team &team) {
+              return std::find(team.keys.begin(), team.keys.end(), key) != team.keys.end();
+          });
+    return found == m_config->teams.end() ? nullptr : &*found;
+}
+
+bool batch_entry::mayAccess(const routed_call &target, const job_state &job)
+{
+    return job.job.team.str().empty() || job.job.team == target.caller;
+}
+
+const job_state *batch_entry::acceptedAt(const job_call &call) const
+{
+    if (call.path.size() < JobIdDigits)
+        return nullptr;
+    const std::size_t prefixSize = call.path.size() - JobIdDigits;
+    const job_state *job = m_state.find(job_id(call.path.substr(prefixSize)));
+    const bool isSamePath = job != nullptr && job->acceptedPolicy
+        && job->acceptedPolicy->host == call.host
+        && call.path.compare(0, prefixSize, job->acceptedPolicy->urlPrefix) == 0;
+    return isSamePath ? job : nullptr;
+}
+
+result<batch_entry::routed_call> batch_entry::routeToAccepted(const job_call &call,
+                                                              const job_state &job) const
+{
+    routed_call target;
+    target.id = job.job.id.str();
+    const batch_team *team = teamWithKey(call.key);
+    if (team != nullptr)
+        target.caller = team->id;
+    if (mayAccess(target, job))
+        return target;
+    if (team != nullptr)
+        return fail(reason::UnknownEndpoint, "no such queue; check the host and the path");
+    return fail(reason::UnknownTeam,
+                "the key is not in force; use a key of the team that is in force");
+}
+
+result<batch_entry::routed_call> batch_entry::route(const job_call &call) const
+{
+    routed_call target;
+    for (const queue_policy &queue : m_config->queues) {
+        if (queue.host != call.host || !absl::StartsWith(call.path, queue.urlPrefix))
+            continue;
+        if (target.queue == nullptr || queue.urlPrefix.size() > target.queue->urlPrefix.size())
+            target.queue = &queue;
+    }
+    if (target.queue != nullptr)
+        target.id = call.path.substr(target.queue->urlPrefix.size());
+    // A configured queue goes first wherever the rest of the path names a job, so no path means two
+    // jobs.
+    if (call.kind != call_kind::Submit && !isJobId(target.id)) {
+        if (const job_state *job = acceptedAt(call))
+            return routeToAccepted(call, *job);
+    }
+    if (target.queue == nullptr)
+        return fail(reason::UnknownEndpoint, "no such queue; check the host and the path");
+    const batch_team *team = teamWithKey(call.key);
+    if (team != nullptr)
+        target.caller = team->id;
+    if (target.queue->isPublic)
+        return target;
+    if (team == nullptr)
+        return fail(reason::UnknownTeam,
+                    "the key is not in force; use a key of the team that is in force");
+    target.team = team->id;
+    return target;
+}
+
+} // namespace hyssoppond::batch
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -117,9 +117,11 @@
     for (const auto &[id, job] : input.state->jobs()) {
         if (!job.isOver())
             openJobs.push_back(&job);
-        if (job.activeUnits.empty())
+        if (job.isOver() && job.activeUnits.empty())
             continue;
-        const queue_policy *queue = queueOf(job.job.queue);
+        const queue_policy *queue = queueOf(job);
+        if (queue != nullptr && queue == job.acceptedPolicy.get())
+            removedQueues.try_emplace(job.job.queue, queue);
         const bool isUrgent = queue != nullptr && queue->priority == 0;
         for (const unit_id &unit : job.activeUnits) {
             const unit_state &state
@@ -133,7 +135,21 @@
     }
 }
 
+const queue_policy *plan_maker::queueOf(const job_state &job) const
+{
+    const queue_policy *configured = configuredQueue(job.job.queue);
+    return configured != nullptr ? configured : job.acceptedPolicy.get();
+}
+
 const queue_policy *plan_maker::queueOf(const std::string &name) const
+{
+    if (const queue_policy *configured = configuredQueue(name))
+        return configured;
+    const auto removed = removedQueues.find(name);
+    return removed == removedQueues.end() ? nullptr : removed->second;
+}
+
+const queue_policy *plan_maker::configuredQueue(const std::string &name) const
 {
     const auto [entry, added] = knownQueues.try_emplace(name, nullptr);
     if (added)
@@ -195,7 +211,7 @@
 void plan_maker::failExhaustedJobs()
 {
     for (const job_state *job : openJobs) {
-        const queue_policy *queue = queueOf(job->job.queue);
+        const queue_policy *queue = queueOf(*job);
         if (queue == nullptr)
             continue;
         bool isExhausted = false;
@@ -248,7 +264,7 @@
 
 void plan_maker::addUnits(const job_state &job, std::vector<waiting_unit> *units) const
 {
-    const queue_policy *queue = queueOf(job.job.queue);
+    const queue_policy *queue = queueOf(job);
     if (queue == nullptr)
         return;
     for (std::uint32_t occurrenceIndex = 0; occurrenceIndex < job.occurrences.size();
--- a/src/batch/batch_state.cpp
+++ b/src/batch/batch_state.cpp
@@ -24,6 +24,7 @@
 void batch_state::clear()
 {
     m_jobs.clear();
+    m_policies.clear();
     m_agents.clear();
     m_evicted.clear();
     m_ending.clear();
@@ -82,12 +83,22 @@
         }));
 }
 
+std::shared_ptr<const queue_policy> batch_state::sharedPolicy(const queue_policy &policy)
+{
+    std::shared_ptr<const queue_policy> &newest = m_policies[policy.name];
+    if (!newest || *newest != policy)
+        newest = std::make_shared<const queue_policy>(policy);
+    return newest;
+}
+
 void batch_state::applyRecord(const job_submitted &record)
 {
     if (m_jobs.contains(record.job.id))
         return; // the same submission was recorded again
     job_state &state = m_jobs[record.job.id];
     state.job = record.job;
+    if (record.policy)
+        state.acceptedPolicy = sharedPolicy(*record.policy);
     state.occurrencesLeft = record.job.occurrences();
     for (std::uint32_t k = 0; k < record.job.occurrences(); ++k) {
         occurrence_state occurrence;
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -58,6 +58,8 @@
     std::vector<unplaced_shape> unplaced = {};
     /// Queues that were looked up, by name; see queueOf().
     mutable absl::flat_hash_map<std::string_view, const queue_policy *> knownQueues = {};
+    /// Policies of removed queues that open jobs were accepted under, by name; see queueOf().
+    absl::flat_hash_map<std::string_view, const queue_policy *> removedQueues = {};
     /// See membersOfStep().
     mutable absl::flat_hash_map<const step_state *, std::vector<std::uint32_t>> stepMembers = {};
 
@@ -84,9 +86,15 @@
     using resource_measure = std::function<resources(const worker_availability &)>;
 
     void addUnits(const job_state &job, std::vector<waiting_unit> *units) const;
+    /// Policy that applies to `job`: that of its queue in the configuration or, once the queue is
+    /// removed, the one under which the job was accepted. Null if neither is known.
+    const queue_policy *queueOf(const job_state &job) const;
+    /// The same for any job of the queue `name`. Jobs of a removed queue that were accepted under
+    /// different policies get that of one of them here.
+    const queue_policy *queueOf(const std::string &name) const;
     /// Policy of the queue `name`; null if the configuration has none. A configuration may hold
     /// thousands of queues, so those of the jobs are looked up once.
-    const queue_policy *queueOf(const std::string &name) const;
+    const queue_policy *configuredQueue(const std::string &name) const;
     /// True for an item that is not urgent if one like it found no place in this plan. What is free
     /// does not grow while the plan is made.
     bool isKnownUnplaceable(const waiting_unit &unit) const;
