Count the silence of agents across changes of the decider

So work of agents that were lost with the decider started again 3.3 s + 12.5 s after the takeover. Besides, the runs of several lost agents were recorded one agent at a time, with a read of the heartbeats of up to 0.8 s between them.

heartbeat_order concludes from the store's order how long an agent has been silent at least: another agent names a later heartbeat of its own and when it was answered on its clock, and sent its newest heartbeat later on that clock. Gaps in the heartbeats of the witness do not count, so an outage of the store makes nobody silent. The decider reads the heartbeats when an eviction after a takeover or the end of a wait falls due, and records all lost runs together. Reserve entries ask for the decider every 0.4 s and take part after 2.8 s without one (before: 1 s and 3 s).

--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -3,6 +3,7 @@
 
 #include "hyssoppond/batch/batch_scheduler_base.h"
 #include "hyssoppond/batch/heartbeat_ages_base.h"
+#include "hyssoppond/batch/heartbeat_order_base.h"
 #include "hyssoppond/batch/log_follower_base.h"
 #include "hyssoppond/batch/log_writer_base.h"
 #include "hyssoppond/batch/peer_message_type.h"
@@ -97,10 +98,13 @@
     struct agent_watch
     {
         /// Last heartbeat or, if later, the end of a gap in reading them or the time at which the
-        /// agent was first seen.
+        /// agent was first seen. Earlier if the store's order of the heartbeats proves it.
         absl::Time silentSince;
+        /// No heartbeat of the agent was read since the first complete read of this decider.
+        bool silentSinceTakeover = true;
         /// When the last heartbeat was read that the decider which evicted the agent, if it is
-        /// evicted, had not read then. Runs are given away later for it.
+        /// evicted, had not read then, or an earlier time before which it was certainly stored.
+        /// Runs are given away later for it.
         absl::Time heartbeatReadAt = absl::InfinitePast();
         /// The agent lived at this time or later. It gets work and is reinstated for it, so it must
         /// not be later than the sending of a heartbeat.
@@ -137,6 +141,9 @@
     void onHeartbeats(const read_answer &answer, absl::Time sentAt);
     /// `isComplete` tells whether all heartbeats were read.
     void watchAgents(bool isComplete);
+    /// Lets the silence of an agent that fell silent before this decider took over count from the
+    /// time that the order of the heartbeats proves. All heartbeats were read just now.
+    void applyProvenSilence(const process_id &agent, agent_watch *watch) const;
     /// The watch of `agent`, which begins now if there is none.
     agent_watch &watchOf(const process_id &agent);
     /// Whether no work may be ordered from the agent of `watch`.
@@ -144,7 +151,8 @@
     /// Records that `agent` is evicted or reinstated. Until the outcome is known, nothing else is
     /// decided about the agent.
     void recordEviction(const process_id &agent, const batch_record &record);
-    void declareRunsLost(const process_id &agent);
+    /// Adds an end for each member of a run that is active on `agent`, which is evicted.
+    void collectRunsOn(const process_id &agent, std::vector<plan_decision> *lostMembers) const;
     /// True if a zone may have been evacuated for so long that no order would be in time.
     bool isEvacuationUnknown() const;
     plan_input planInput() const;
@@ -196,6 +204,7 @@
     /// Last read that reached the newest heartbeat.
     absl::Time m_heartbeatsReadAt = absl::InfinitePast();
     heartbeat_ages m_heartbeatAges;
+    heartbeat_order m_heartbeatOrder;
     std::map<process_id, agent_watch> m_watches;
     /// Every entry keeps the evictions, because otherwise the wait for the end of the last lease
     /// would start again with each new decider.
