Let the first plan of a new decider wait for the heartbeats

Cause (review/9): agents that had been gone for long and held no runs were never evicted, and a new decider ordered work from them, as it planned before its first read of the heartbeats and counted their silence from its start.

The first plan waits for the first complete read, at most 0.3 s.

--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -48,6 +48,10 @@
 /// start waits for the worker's incarnation.
 constexpr absl::Duration OrderDelay = absl::Milliseconds(1500);
 
+/// The first plan after a takeover waits this long for the heartbeats, which tell which agents are
+/// gone. Urgent work can wait about 1.5 s, of which the takeover takes most.
+constexpr absl::Duration FirstHeartbeatWait = absl::Milliseconds(300);
+
 /// Pause after a plan, as a multiple of the time that it took, so that an entry with little
 /// processor time still reads the journal and keeps its membership.
 constexpr double PlanPauseFactor = 2.0;
@@ -311,6 +315,7 @@
     m_watches.clear();
     m_nextHeartbeatReadAt = m_hooks.now();
     m_heartbeatsReadAt = absl::InfinitePast();
+    m_planAllowedAt = m_hooks.now() + FirstHeartbeatWait;
     // An earlier term may have read heartbeats that are later than an eviction since then.
     for (const auto &[agent, eviction] : m_evictions)
         m_heartbeatPosition = std::min(m_heartbeatPosition, eviction.heartbeatsRead);
--- a/src/batch/batch_decider_agents.cpp
+++ b/src/batch/batch_decider_agents.cpp
@@ -80,6 +80,8 @@
     }
     m_heartbeatAges.noteRead(sentAt, answer.end);
     const bool isComplete = m_heartbeatPosition >= answer.end;
+    if (isComplete && m_heartbeatsReadAt == absl::InfinitePast())
+        m_planAllowedAt = now;
     if (isComplete)
         m_heartbeatsReadAt = now;
     else if (!answer.records.empty())
--- a/tests/batch_takeover_test.cpp
+++ b/tests/batch_takeover_test.cpp
@@ -170,6 +170,27 @@
     expectStartElsewhereWithin(StartsElsewhereWithin - (m_site->clock.now() - lostAt));
 }
 
+// Guards against work that a new decider orders from agents which have been gone for long: they
+// held no runs, so none was evicted, and the first plan was made before the heartbeats were read.
+TEST_P(batch_takeover_test, newDeciderOrdersNothingFromAnAgentThatHasBeenGoneForLong)
+{
+    start(2);
+    m_site->clock.runFor(absl::Seconds(5));
+    ASSERT_EQ(m_site->history.done, Workers);
+    loseAgent("agent-0");
+    m_site->clock.runFor(absl::Seconds(5));
+    const std::string lost = decider();
+    m_site->kill(lost);
+    const std::string left = m_site->entries.begin()->first;
+    m_site->submit(left, batch_site::idOf(2), "urgent", batch_site::stepOf(Workers, 8, false));
+    const batch_state &state = m_site->entries.at(left)->node->state();
+    for (int i = 0; i < 40; ++i) {
+        m_site->clock.runFor(absl::Milliseconds(100));
+        ASSERT_TRUE(state.runsOn(process_id("agent-0")).empty()) << m_site->decisionsAbout(m_job);
+    }
+    EXPECT_EQ(m_site->history.starts, 2 * Workers - 1);
+}
+
 // Guards against agents that a new decider evicts because the store carried out no heartbeats
 // before it took over.
 TEST_P(batch_takeover_test, noAgentIsEvictedWhenTheDeciderIsLostInAnOutageOfTheStore)
