Check a configuration file before it is published

`hyssopctl config check FILE [--against FILE] [--fleet FILE] [--format json|text]` reports, without a network, keys and values that an entry refuses, contracts and drains that nothing matches, limits and guarantees that contradict each other or the fleet, and differences from the version in force. Exit codes: 0 clean or differences only, 1 findings, 2 wrong arguments.

The parser of the values moved from the entry to the new library `config`, which the tool shares. A key that is given twice in a file is reported, as JSON parsers keep only the last one.

--- a/include/hyssoppond/tool/tool_base.h
+++ b/include/hyssoppond/tool/tool_base.h
@@ -16,6 +16,7 @@
 enum class exit_code : std::uint8_t {
     Ok = 0,
     JobNotCompleted = 1, ///< `wait` or a runbook: the job ended, but not as Completed
+    Findings = 1,        ///< `config check`: the configuration has faults
     Usage = 2,           ///< the arguments are not valid
     NotRun = 3,          ///< refused; it did not run
     Unknown = 4,         ///< it may have run; repeat with the same request id
--- a/src/entry/config_value.cpp
+++ b/src/config/config_value.cpp
@@ -1,5 +1,5 @@
 /// @file Parses configuration values.
-#include "hyssoppond/entry/config_value_func.h"
+#include "hyssoppond/config/config_value_func.h"
 
 #include <absl/strings/str_format.h>
 #include <absl/strings/str_split.h>
--- a/src/entry/cluster_apply.cpp
+++ b/src/entry/cluster_apply.cpp
@@ -3,7 +3,7 @@
 #include "hyssoppond/entry/cluster_controller_base.h"
 
 #include "hyssoppond/base/log_func.h"
-#include "hyssoppond/entry/config_value_func.h"
+#include "hyssoppond/config/config_value_func.h"
 
 #include <absl/strings/str_format.h>
 
--- a/src/entry/cluster_controller.cpp
+++ b/src/entry/cluster_controller.cpp
@@ -1,7 +1,7 @@
 /// @file Requests of callers and operators to the cluster controller.
 #include "hyssoppond/entry/cluster_controller_base.h"
 
-#include "hyssoppond/entry/config_value_func.h"
+#include "hyssoppond/config/config_value_func.h"
 
 #include <absl/strings/str_format.h>
 
--- a/src/entry/cluster_outage.cpp
+++ b/src/entry/cluster_outage.cpp
@@ -1,7 +1,7 @@
 /// @file Jobs that the holder of the outage lease accepts while the log is down.
 #include "hyssoppond/entry/cluster_controller_base.h"
 
-#include "hyssoppond/entry/config_value_func.h"
+#include "hyssoppond/config/config_value_func.h"
 
 #include <utility>
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -3,7 +3,7 @@
 
 #include "hyssoppond/base/log_func.h"
 #include "hyssoppond/base/process_clock_base.h"
-#include "hyssoppond/entry/config_value_func.h"
+#include "hyssoppond/config/config_value_func.h"
 #include "hyssoppond/gang/gang_codec_func.h"
 
 #include <absl/strings/str_format.h>
--- a/src/tool/command_groups_func.h
+++ b/src/tool/command_groups_func.h
@@ -12,6 +12,7 @@
 
 std::vector<tool_command> jobCommands();
 std::vector<tool_command> siteCommands();
+std::vector<tool_command> configCheckCommands();
 std::vector<tool_command> runbookCommands();
 
 /// Returns the request id of a command: `explicitId` if it is not empty, else that of the context,
--- a/src/tool/tool.cpp
+++ b/src/tool/tool.cpp
@@ -104,7 +104,8 @@
         absl::StrAppendFormat(&text, "  %-16s %s\n", command.name, command.summary);
     text += "\nhyssopctl COMMAND --help shows the arguments of a command.\n"
             "HYSSOPPOND_ENTRY names the entries when --entry is not given.\n"
-            "Exit codes: 0 done, 1 the job did not complete, 2 usage, 3 not run, 4 outcome "
+            "Exit codes: 0 done, 1 the job did not complete or a check has findings, 2 usage, 3 "
+            "not run, 4 outcome "
             "unknown, 5 failed, 6 no entry reachable.\n";
     return text;
 }
@@ -115,7 +116,7 @@
 {
     static const std::vector<tool_command> all = [] {
         std::vector<tool_command> commands = jobCommands();
-        for (const auto &group : {siteCommands(), runbookCommands()})
+        for (const auto &group : {siteCommands(), configCheckCommands(), runbookCommands()})
             commands.insert(commands.end(), group.begin(), group.end());
         return commands;
     }();
