--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -123,7 +123,8 @@
     {
         const queue_policy *queue = nullptr;
         std::string id;
-        team_id team;
+        team_id team;   ///< that a submission is for; empty if the queue is public
+        team_id caller; ///< of the caller's key, also where none is needed; empty: no valid key
     };
 
     void logDecision(const char *decision, const std::string &item,
@@ -132,6 +133,10 @@
     void applyJournal(const std::vector<stored_record> &records);
     /// Finds the queue and the team of a call. Errors: UnknownEndpoint, UnknownTeam.
     result<routed_call> route(const job_call &call) const;
+    const batch_team *teamWithKey(const std::string &key) const;
+    /// True if the caller may see and cancel `job`: it is of the caller's team, or of nobody.
+    static bool mayAccess(const routed_call &target, const job_state &job);
+    static bool isJobId(const std::string &text);
     static job_reply replyFor(const error &problem);
     job_reply refusal(reason why, std::string message) const;
     void submit(const routed_call &target, job_call call, const responder &respond);
--- a/src/batch/batch_entry_submit.cpp
+++ b/src/batch/batch_entry_submit.cpp
@@ -65,7 +65,10 @@
                                        first.item.accelerators, " accelerators, ", first.estimateMs,
                                        " ms, ", job.steps.size(), " steps");
     const job_id id = job.id;
-    const batch_record record = job_submitted {std::move(job)};
+    job_submitted submitted {std::move(job), std::nullopt};
+    if (const queue_policy *queue = m_config->findQueue(submitted.job.queue))
+        submitted.policy = *queue;
+    const batch_record record = std::move(submitted);
     m_recording.insert(id);
     // A caller may be unable to repeat a call of unknown outcome, so the writer waits for the
     // outcome as long as the caller waits.
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -195,7 +195,7 @@
             openJobs.push_back(&job);
         if (job.activeUnits.empty())
             continue;
-        const queue_policy *queue = queueOf(job.job.queue);
+        const queue_policy *queue = queueOf(job);
         const bool isUrgent = queue != nullptr && queue->priority == 0;
         for (const unit_id &unit : job.activeUnits) {
             const unit_state &state
@@ -209,7 +209,13 @@
     }
 }
 
-const queue_policy *plan_maker::queueOf(const std::string &name) const
+const queue_policy *plan_maker::queueOf(const job_state &job) const
+{
+    const queue_policy *configured = configuredQueue(job.job.queue);
+    return configured != nullptr ? configured : job.acceptedPolicy.get();
+}
+
+const queue_policy *plan_maker::configuredQueue(const std::string &name) const
 {
     const auto [entry, added] = knownQueues.try_emplace(name, nullptr);
     if (added)
@@ -272,7 +278,7 @@
 void plan_maker::failExhaustedJobs()
 {
     for (const job_state *job : openJobs) {
-        const queue_policy *queue = queueOf(job->job.queue);
+        const queue_policy *queue = queueOf(*job);
         if (queue == nullptr)
             continue;
         bool isExhausted = false;
@@ -318,7 +324,7 @@
 
 void plan_maker::addUnits(const job_state &job, std::vector<waiting_unit> *units) const
 {
-    const queue_policy *queue = queueOf(job.job.queue);
+    const queue_policy *queue = queueOf(job);
     if (queue == nullptr)
         return;
     for (std::uint32_t occurrenceIndex = 0; occurrenceIndex < job.occurrences.size();
--- a/src/batch/leaving_worker.cpp
+++ b/src/batch/leaving_worker.cpp
@@ -31,7 +31,7 @@
 
 bool plan_maker::hasRoomElsewhere(const active_run &run) const
 {
-    const queue_policy *queue = queueOf(run.job->job.queue);
+    const queue_policy *queue = queueOf(*run.job);
     std::size_t room = 0;
     for (const worker_availability &worker : workers) {
         if (queue == nullptr || !takesWork(worker) || worker.description->service != queue->service)
--- a/src/batch/plan_preempt.cpp
+++ b/src/batch/plan_preempt.cpp
@@ -37,7 +37,7 @@
 
 bool plan_maker::mayPreempt(const waiting_unit &unit, const job_state &victimJob) const
 {
-    const queue_policy *queue = queueOf(victimJob.job.queue);
+    const queue_policy *queue = queueOf(victimJob);
     if (queue == nullptr || queue->priority > 0)
         return true;
     // Urgent work of a team that exceeds its guarantee may be stopped for urgent work of another
--- a/src/batch/preemption_cost.cpp
+++ b/src/batch/preemption_cost.cpp
@@ -29,7 +29,7 @@
 int plan_maker::latenessOfEnd(const active_run &run, unix_ms endMs) const
 {
     const batch_job &job = run.job->job;
-    const queue_policy *queue = queueOf(job.queue);
+    const queue_policy *queue = queueOf(*run.job);
     if (queue == nullptr)
         return 0;
     const std::uint32_t step = run.unit->step;
@@ -50,7 +50,7 @@
 plan_maker::stop_cost plan_maker::computeStopCost(const active_run &run) const
 {
     const batch_step &step = run.job->job.steps[run.unit->step];
-    const queue_policy *queue = queueOf(run.job->job.queue);
+    const queue_policy *queue = queueOf(*run.job);
     const bool isUrgent = queue != nullptr && queue->priority == 0;
     const std::int64_t elapsedMs = std::max<std::int64_t>(0, input.nowMs - run.state->orderedMs);
     const std::int64_t expectedMs
