--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -6,6 +6,7 @@
 
 #include <absl/time/time.h>
 
+#include <deque>
 #include <map>
 #include <set>
 #include <utility>
@@ -21,6 +22,9 @@
     absl::Duration reclaimWithin = absl::Milliseconds(2'900);
     /// Longest time that the stop of a run takes; set by the platform.
     absl::Duration stopTime = absl::Milliseconds(900);
+    /// Time between two checkpoints of a run that saves its progress; set by the platform. Zero:
+    /// not known, a stop loses no work since the newest one.
+    absl::Duration checkpointInterval = absl::ZeroDuration();
     /// Quarantine of a worker after a failed item; doubles with further failures.
     absl::Duration failureQuarantine = absl::Seconds(4);
     /// Quarantine of a worker after it refused an item.
@@ -50,6 +54,7 @@
     bool silent = false; ///< its agent sends no heartbeats
     bool evicted = false;
     bool evacuated = false; ///< its zone is evacuated
+    double slowness = 1.0;  ///< run times as a multiple of those on a worker of mean speed
     /// Active runs with members here, as indexes among those of the plan, and the number of these
     /// members.
     std::vector<std::pair<std::size_t, std::uint32_t>> runs;
@@ -62,6 +67,15 @@
     std::string why;
 };
 
+/// What the order of waiting units expects of a unit when not all work can end in time.
+enum class start_class : std::uint8_t {
+    InTime,   ///< it ends in time, or there is no shortage
+    Late,     ///< put off, as others end in time only without it; it ends late
+    Hopeless, ///< put off until it is of no use any more, unless capacity becomes free
+};
+
+inline constexpr name_table<start_class, 3> StartClassNames {{"InTime", "Late", "Hopeless"}};
+
 /// A unit that can start now.
 struct waiting_unit
 {
@@ -75,7 +89,17 @@
     unix_ms latestStartMs = 0;
     std::uint32_t members = 1;
     std::int64_t expectedMs = 0; ///< run time on a worker of mean speed near the data
-    bool guaranteed = false;     ///< urgent, and its team's guarantee covers it
+    /// Slowest worker on which the unit still ends in time or, if late, before it is of no use.
+    double maxSlowness = 1.0;
+    bool guaranteed = false; ///< urgent, and its team's guarantee covers it
+    /// Latest start to end within three times the objective.
+    unix_ms lastStartMs = 0;
+    start_class startClass = start_class::InTime;
+    double serveCost = 0; ///< orders units that end too late, see due_work::cost
+
+    /// Urgent units go first, except late ones without a guarantee: these are worth less than other
+    /// work that is in time.
+    bool goesFirst() const { return queue->priority == 0 && (lateness == 0 || guaranteed); }
 };
 
 /// Makes the plans. Between plans it keeps only learned run times, quarantines and claims.
@@ -86,10 +110,19 @@
         : m_options(options)
     { }
 
-    /// Learns from the run time of an item that has ended.
+    /// Learns from the run time of an item or gang that has ended.
     void learn(const ended_member &ended, const batch_state &state);
+    /// Learns from the progress of a run that goes on. Its end replaces that later.
+    void learnProgress(const run_progress &progress, const batch_state &state);
     /// Drops the learned run times before the journal is replayed, which teaches them again.
-    void forgetRunTimes() { m_times = {}; }
+    void forgetRunTimes();
+    /// Learns from the newest runs that ended in the replay, in the order of the records. The racks
+    /// of their workers are known only then, as an announcement is stored behind earlier ends.
+    void learnReplayed(const batch_state &state);
+    /// At most `limit` workers whose speed changed notably and was not taken yet, for the log.
+    std::vector<std::pair<process_id, speed_estimate>> takeChangedSpeeds(std::size_t limit);
+    /// Learned run times and speeds.
+    const item_time_model &times() const { return m_times; }
     /// Sets or ends the quarantine of a worker according to the end of a run on it.
     void observe(const ended_member &ended, const batch_state &state, absl::Time now);
     /// Decisions that are due, in the order in which they are to be recorded.
@@ -104,13 +137,28 @@
         std::uint32_t failures = 0; ///< consecutive failed runs
     };
 
+    /// A run whose time is known: of an item, or of a gang as a whole.
+    struct learnable_run
+    {
+        unit_id unit;
+        std::int64_t runTimeMs = 0;
+        std::vector<process_id> agents;
+    };
+
+    void learnRun(const learnable_run &run, const batch_state &state, bool isProgress = false);
+
     friend struct plan_maker;
 
     scheduler_options m_options;
     std::map<process_id, quarantine_entry> m_quarantines;
     item_time_model m_times;
+    std::set<process_id> m_changedSpeeds;
+    bool m_isReplaying = false;
+    std::deque<learnable_run> m_replayedRuns; ///< of the present replay, not learned yet
     /// Workers that are being cleared for an urgent unit, one entry for each member.
     std::map<unit_id, std::vector<process_id>> m_claims;
+    /// Time of the order of units that were started lately on capacity which stops freed.
+    std::map<unit_id, unix_ms> m_startedByStops;
 };
 
 /// Expected time of the longest chain of dependent steps among those from `firstStep` on, in ms.
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -1,8 +1,6 @@
 /// @file Implementation of the entry of batch jobs.
 #include "hyssoppond/batch/batch_entry_base.h"
 
-#include <absl/strings/ascii.h>
-#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -14,12 +12,6 @@
 /// A submission is refused at once while an append has been without an outcome for this long.
 constexpr absl::Duration MaxStoreStall = absl::Milliseconds(700);
 
-/// Longest wait for a submission to be recorded; a quarter of the shortest objective, about 4 s.
-constexpr absl::Duration RecordTimeout = absl::Milliseconds(1500);
-
-/// Time before the caller's deadline that is reserved for the answer to arrive.
-constexpr absl::Duration AnswerMargin = absl::Milliseconds(150);
-
 /// An entry is not ready for new connections if its journal or configuration is older than this.
 constexpr absl::Duration ReadyMaxStaleness = absl::Milliseconds(3500);
 
@@ -36,9 +28,6 @@
 constexpr absl::Duration StandbyReadInterval = absl::Milliseconds(50);
 constexpr absl::Duration StandbyReadIntervalWithWakes = absl::Milliseconds(500);
 
-/// Digits of a job id.
-constexpr std::size_t JobIdDigits = 16;
-
 } // namespace
 
 batch_entry::batch_entry(batch_entry_options options, store_port *store, loop_hooks hooks)
@@ -68,6 +57,7 @@
         logDecision("journal loaded", "",
                     absl::StrCat(records.size(), " records, ", toString(m_journal.lastLoad())));
         applyJournal(records);
+        m_journalLoadedAt = std::min(m_journalLoadedAt, m_hooks.now());
         m_decider.onReloaded();
         tick();
     };
@@ -139,6 +129,10 @@
             m_state.apply(*record, storedRecord.offset);
             if (const auto *eviction = std::get_if<agent_evicted>(&*record))
                 m_decider.onEviction(*eviction);
+            if (const auto *announced = std::get_if<agent_announced>(&*record))
+                m_admission.onAnnounced(*announced);
+            if (const auto *submitted = std::get_if<job_submitted>(&*record))
+                m_recording.erase(submitted->job.id);
         }
     }
 }
@@ -235,30 +229,6 @@
     return reply;
 }
 
-result<batch_entry::routed_call> batch_entry::route(const job_call &call) const
-{
-    routed_call target;
-    for (const queue_policy &queue : m_config->queues) {
-        if (queue.host != call.host || !absl::StartsWith(call.path, queue.urlPrefix))
-            continue;
-        if (target.queue == nullptr || queue.urlPrefix.size() > target.queue->urlPrefix.size())
-            target.queue = &queue;
-    }
-    if (target.queue == nullptr)
-        return fail(reason::UnknownEndpoint, "no such queue; check the host and the path");
-    target.id = call.path.substr(target.queue->urlPrefix.size());
-    if (target.queue->isPublic)
-        return target;
-    for (const batch_team &team : m_config->teams) {
-        if (std::find(team.keys.begin(), team.keys.end(), call.key) != team.keys.end()) {
-            target.team = team.id;
-            return target;
-        }
-    }
-    return fail(reason::UnknownTeam,
-                "the key is not in force; use a key of the team that is in force");
-}
-
 void batch_entry::handle(job_call call, const responder &respond)
 {
     if (!m_config) {
@@ -278,11 +248,7 @@
     if (call.kind == call_kind::Status && target->id.empty())
         call.kind = call_kind::Pending;
     if (call.kind != call_kind::Pending) {
-        const bool wellFormed = target->id.size() == JobIdDigits
-            && std::all_of(target->id.begin(), target->id.end(), [](char c) {
-                                    return absl::ascii_isxdigit(static_cast<unsigned char>(c));
-                                });
-        if (!wellFormed) {
+        if (!isJobId(target->id)) {
             respond(replyFor(
                 {call.kind == call_kind::Submit ? reason::InvalidArgument : reason::UnknownJob,
                  "the job's id is malformed; use 16 hexadecimal digits", execution::NotRun,
@@ -310,13 +276,7 @@
 {
     const job_id id(target.id);
     if (const job_state *known = m_state.find(id)) {
-        job_reply reply;
-        reply.kind = reply_kind::Accepted;
-        if (known->job.team != target.team)
-            reply = replyFor({reason::RequestIdReused,
-                              "the id belongs to another job; choose another", execution::NotRun,
-                              absl::InfiniteFuture(), 0});
-        respond(reply);
+        respond(replyForKnown(*known, target.team));
         return;
     }
     if (!call.job) {
@@ -343,34 +303,11 @@
     job.queue = target.queue->name;
     job.team = target.team;
     job.submittedMs = absl::ToUnixMillis(m_hooks.wallNow());
-    const batch_step &first = job.steps.front();
-    std::string summary = absl::StrCat("queue ", job.queue, ", ", first.count, " items of ",
-                                       first.item.accelerators, " accelerators, ", first.estimateMs,
-                                       " ms, ", job.steps.size(), " steps");
-    const batch_record record = job_submitted {std::move(job)};
-    // A caller may be unable to repeat a call of unknown outcome, so the writer waits for the
-    // outcome as long as the caller waits.
-    const absl::Time settleBy = call.deadline - AnswerMargin;
-    const absl::Time deadline = std::min(settleBy, m_hooks.now() + RecordTimeout);
-    m_writer.write(
-        {{keyOf(record), encodeRecord(record), 0}}, deadline, settleBy,
-        [this, id, respond, summary = std::move(summary)](write_result writeResult,
-                                                          std::uint64_t offset) {
-            job_reply reply;
-            if (writeResult == write_result::Written) {
-                reply.kind = reply_kind::Accepted;
-                logDecision("job accepted", id.str(), absl::StrCat(summary, ", offset ", offset));
-            } else if (writeResult == write_result::NotWritten) {
-                reply = refusal(reason::LogUnavailable, "the job was not recorded; retry");
-            } else {
-                reply.kind = reply_kind::Unknown;
-                reply.why = reason::LogUnsettled;
-                reply.message
-                    = "the store did not say whether the job was recorded; repeat the call";
-                logDecision("job unsettled", id.str(), "the store did not confirm the record");
-            }
-            respond(reply);
-        });
+    std::optional<admission_refusal> refused = admissionRefusal(job);
+    if (refused)
+        refuseAdmission(std::move(job), std::move(*refused), call.deadline, respond);
+    else
+        recordJob(std::move(job), call.deadline, respond);
 }
 
 void batch_entry::withJob(const routed_call &target, absl::Time deadline, const responder &respond,
@@ -383,25 +320,24 @@
     };
     if (const job_state *known = m_state.find(id)) {
         // A job of another team is answered as if it did not exist.
-        if (known->job.team == target.team)
+        if (mayAccess(target, *known))
             found(*known);
         else
             respond(noJobReply());
         return;
     }
     // Another entry may have accepted the job since the last read of the journal.
-    m_journal.barrier(deadline - AnswerMargin,
-                      [this, id, team = target.team, respond, found, noJobReply](bool current) {
-                          const job_state *known = m_state.find(id);
-                          if (known != nullptr && known->job.team == team)
-                              found(*known);
-                          else if (current)
-                              respond(noJobReply());
-                          else
-                              respond(
-                                  refusal(reason::LogUnavailable,
-                                          "the store does not say whether the job exists; retry"));
-                      });
+    m_journal.barrier(
+        deadline - AnswerMargin, [this, id, target, respond, found, noJobReply](bool current) {
+            const job_state *known = m_state.find(id);
+            if (known != nullptr && mayAccess(target, *known))
+                found(*known);
+            else if (current)
+                respond(noJobReply());
+            else
+                respond(refusal(reason::LogUnavailable,
+                                "the store does not say whether the job exists; retry"));
+        });
 }
 
 void batch_entry::status(const routed_call &target, const job_call &call, const responder &respond)
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -16,6 +16,10 @@
 /// A unit that failed on this many workers is taken to be at fault itself, and the workers are not.
 constexpr std::size_t FailedWorkersToBlameUnit = 2;
 
+/// Newest runs of a replay that are learned. Earlier ones have decayed, and at 30 us a run an entry
+/// with a tenth of a core needs 0.6 s for so many, during which it decides nothing.
+constexpr std::size_t MaxReplayedRuns = 2'000;
+
 /// Most doublings of the quarantine time of a worker on which runs keep failing.
 constexpr std::uint32_t MaxQuarantineDoublings = 2;
 
@@ -30,7 +34,7 @@
         std::int64_t start = 0;
         for (const std::uint32_t dependency : job.steps[i].dependsOn)
             start = std::max(start, endMs[dependency]);
-        endMs[i] = start + times.expectedMs(job.queue, job.steps[i].estimateMs);
+        endMs[i] = start + times.expectedMs(job.queue, job.steps[i].estimateMs, job.team);
         longest = std::max(longest, endMs[i]);
     }
     return longest;
@@ -38,26 +42,93 @@
 
 void batch_scheduler::learn(const ended_member &ended, const batch_state &state)
 {
-    // Later runs of a unit may continue from a checkpoint, and the members of a gang end together,
-    // so only the first member of the first run counts.
-    const bool isRepresentative = ended.how == run_end::Done && ended.runTimeMs > 0
-        && ended.run == 1 && ended.member.index == ended.unit.index;
+    // Later runs of a unit may continue from a checkpoint.
     const job_state *job = state.find(ended.unit.job);
-    if (!isRepresentative || job == nullptr)
+    if (ended.how != run_end::Done || ended.runTimeMs < 1 || ended.run != 1 || job == nullptr)
         return;
-    const batch_step &step = job->job.steps[ended.unit.step];
-    const auto rackOf = [&state](const process_id &agent) {
-        const auto known = state.agents().find(agent);
-        return known == state.agents().end() ? std::string() : known->second.worker.rack;
-    };
-    const std::string rack = rackOf(ended.member.agent);
     const auto &members = state.findUnit(ended.unit)->active->members;
-    const bool spansRacks = step.sameRack
-        && std::any_of(members.begin(), members.end(),
-                       [&](const member_state &one) { return rackOf(one.member.agent) != rack; });
-    if (spansRacks || (!step.dataRack.empty() && step.dataRack != rack))
-        return; // the run was slower by the remote factor
-    m_times.learn(job->job.queue, step.estimateMs, ended.runTimeMs, ended.member.agent);
+    // The members of a gang end together, so only the first end of a run counts.
+    const auto done = std::count_if(members.begin(), members.end(), [](const member_state &one) {
+        return one.end == run_end::Done;
+    });
+    if (done != 1)
+        return;
+    learnable_run run {ended.unit, ended.runTimeMs, {}};
+    for (const member_state &one : members)
+        run.agents.push_back(one.member.agent);
+    if (!m_isReplaying) {
+        learnRun(run, state);
+        return;
+    }
+    m_replayedRuns.push_back(std::move(run));
+    if (m_replayedRuns.size() > MaxReplayedRuns)
+        m_replayedRuns.pop_front();
+}
+
+void batch_scheduler::learnProgress(const run_progress &progress, const batch_state &state)
+{
+    const unit_state *unit = state.findUnit(progress.unit);
+    if (progress.run != 1 || progress.expectedMs < 1 || unit == nullptr || !unit->active
+        || unit->active->run != progress.run)
+        return;
+    learnable_run run {progress.unit, progress.expectedMs, {}};
+    for (const member_state &one : unit->active->members) {
+        if (one.end)
+            return; // the end was learned, or the run is broken
+        run.agents.push_back(one.member.agent);
+    }
+    learnRun(run, state, true);
+}
+
+void batch_scheduler::learnRun(const learnable_run &run, const batch_state &state, bool isProgress)
+{
+    const job_state &job = *state.find(run.unit.job);
+    const batch_step &step = job.job.steps[run.unit.step];
+    finished_run finished {job.job.queue, step.estimateMs, run.runTimeMs, run.unit, {},
+                           job.job.team};
+    std::string rack;
+    for (const process_id &agent : run.agents) {
+        const auto known = state.agents().find(agent);
+        const worker_description worker
+            = known == state.agents().end() ? worker_description() : known->second.worker;
+        const bool isFarFromData = !step.dataRack.empty() && step.dataRack != worker.rack;
+        const bool spansRacks = step.sameRack && !finished.members.empty() && worker.rack != rack;
+        if (isFarFromData || spansRacks)
+            return; // the run was slower by the remote factor
+        rack = worker.rack;
+        finished.members.push_back({agent, worker.kind});
+    }
+    const step_evidence evidence
+        = isProgress ? m_times.learnProgress(finished) : m_times.learn(finished);
+    m_changedSpeeds.insert(evidence.changed.begin(), evidence.changed.end());
+}
+
+void batch_scheduler::forgetRunTimes()
+{
+    m_times = {};
+    m_changedSpeeds.clear();
+    m_replayedRuns.clear();
+    m_isReplaying = true;
+}
+
+std::vector<std::pair<process_id, speed_estimate>> batch_scheduler::takeChangedSpeeds(
+    std::size_t limit)
+{
+    std::vector<std::pair<process_id, speed_estimate>> changes;
+    while (!m_changedSpeeds.empty() && changes.size() < limit) {
+        const process_id worker = *m_changedSpeeds.begin();
+        m_changedSpeeds.erase(m_changedSpeeds.begin());
+        changes.emplace_back(worker, m_times.speeds().estimateOf(worker));
+    }
+    return changes;
+}
+
+void batch_scheduler::learnReplayed(const batch_state &state)
+{
+    m_isReplaying = false;
+    for (const learnable_run &run : m_replayedRuns)
+        learnRun(run, state);
+    m_replayedRuns.clear();
 }
 
 void batch_scheduler::observe(const ended_member &ended, const batch_state &state, absl::Time now)
@@ -95,11 +166,16 @@
     maker.stopBrokenRuns();
     maker.computeHeadroom();
     maker.claims = std::move(m_claims);
+    maker.startedByStops = std::move(m_startedByStops);
+    std::erase_if(maker.startedByStops, [&](const auto &started) {
+        return input.nowMs - started.second > absl::ToInt64Milliseconds(m_options.reclaimWithin);
+    });
     const std::vector<waiting_unit> units = maker.waitingUnits();
     maker.reserveClaims(units);
     for (const waiting_unit &unit : units)
         maker.place(unit);
     m_claims = std::move(maker.keptClaims);
+    m_startedByStops = std::move(maker.startedByStops);
     return std::move(maker.decisions);
 }
 
@@ -119,7 +195,7 @@
             openJobs.push_back(&job);
         if (job.activeUnits.empty())
             continue;
-        const queue_policy *queue = queueOf(job.job.queue);
+        const queue_policy *queue = queueOf(job);
         const bool isUrgent = queue != nullptr && queue->priority == 0;
         for (const unit_id &unit : job.activeUnits) {
             const unit_state &state
@@ -133,7 +209,13 @@
     }
 }
 
-const queue_policy *plan_maker::queueOf(const std::string &name) const
+const queue_policy *plan_maker::queueOf(const job_state &job) const
+{
+    const queue_policy *configured = configuredQueue(job.job.queue);
+    return configured != nullptr ? configured : job.acceptedPolicy.get();
+}
+
+const queue_policy *plan_maker::configuredQueue(const std::string &name) const
 {
     const auto [entry, added] = knownQueues.try_emplace(name, nullptr);
     if (added)
@@ -155,6 +237,7 @@
             = quarantine != scheduler.m_quarantines.end() && quarantine->second.until > input.now;
         worker.silent = input.silent.contains(agent);
         worker.evicted = input.state->isEvicted(agent);
+        worker.slowness = times.slownessOf(agent);
         worker.evacuated = input.evacuatedZones.contains(announced.worker.zone);
         const auto rack = std::find(racks.begin(), racks.end(), announced.worker.rack);
         worker.rack = static_cast<std::size_t>(rack - racks.begin());
@@ -195,7 +278,7 @@
 void plan_maker::failExhaustedJobs()
 {
     for (const job_state *job : openJobs) {
-        const queue_policy *queue = queueOf(job->job.queue);
+        const queue_policy *queue = queueOf(*job);
         if (queue == nullptr)
             continue;
         bool isExhausted = false;
@@ -228,16 +311,9 @@
                 continue;
             }
             const auto found = workerIndexes.find(member.member.agent.str());
-            if (found == workerIndexes.end() || !workers[found->second].description->draining)
-                continue;
-            // A run that cannot end before its worker leaves is stopped early, while little
-            // work is lost, and starts again elsewhere.
-            const unix_ms expectedEndMs = run.state->orderedMs
-                + times.expectedMs(run.job->job.queue,
-                                   run.job->job.steps[run.unit->step].estimateMs);
-            const unix_ms workerLeavesMs = workers[found->second].description->earliestLeaveMs;
-            outlivesWorker
-                = outlivesWorker || (workerLeavesMs != 0 && expectedEndMs > workerLeavesMs);
+            outlivesWorker = outlivesWorker
+                || (found != workerIndexes.end()
+                    && mustLeaveNow(run, *workers[found->second].description));
         }
         if (outlivesWorker)
             stopRun(run, "its worker leaves before the expected end of the run");
@@ -248,7 +324,7 @@
 
 void plan_maker::addUnits(const job_state &job, std::vector<waiting_unit> *units) const
 {
-    const queue_policy *queue = queueOf(job.job.queue);
+    const queue_policy *queue = queueOf(job);
     if (queue == nullptr)
         return;
     for (std::uint32_t occurrenceIndex = 0; occurrenceIndex < job.occurrences.size();
@@ -274,16 +350,18 @@
             unit.step = &step;
             unit.queue = queue;
             unit.members = step.gang ? step.count : 1;
-            unit.expectedMs = times.expectedMs(queue->name, step.estimateMs);
+            unit.expectedMs = times.expectedMs(queue->name, step.estimateMs, job.job.team);
             unit.guaranteed = queue->priority == 0 && isGuaranteed(unit);
+            // A late unit is still of use up to three times its objective.
             unit.latestStartMs = dueMs + objectiveMs - remainingMs;
+            unit.lastStartMs = dueMs + 3 * objectiveMs - remainingMs;
             if (unit.latestStartMs < input.nowMs) {
-                unit.lateness = 1;
-                // A late unit is still of use up to three times its objective.
-                unit.latestStartMs = dueMs + 3 * objectiveMs - remainingMs;
-                if (unit.latestStartMs < input.nowMs)
-                    unit.lateness = 2;
+                unit.lateness = unit.lastStartMs < input.nowMs ? 2 : 1;
+                unit.latestStartMs = unit.lastStartMs;
             }
+            unit.maxSlowness
+                = static_cast<double>(unit.latestStartMs + unit.expectedMs - input.nowMs)
+                / static_cast<double>(std::max<std::int64_t>(1, unit.expectedMs));
             for (std::uint32_t unitIndex = 0; unitIndex < occurrence.steps[stepIndex].units.size();
                  ++unitIndex) {
                 const unit_state &state = occurrence.steps[stepIndex].units[unitIndex];
@@ -302,18 +380,8 @@
     std::vector<waiting_unit> units;
     for (const job_state *job : openJobs)
         addUnits(*job, &units);
-    std::stable_sort(units.begin(), units.end(), [](const waiting_unit &a, const waiting_unit &b) {
-        // Urgent units go first, except late ones without a guarantee: these are worth less than
-        // other work that is in time.
-        const auto goesFirst = [](const waiting_unit &unit) {
-            return unit.queue->priority == 0 && (unit.lateness == 0 || unit.guaranteed);
-        };
-        if (goesFirst(a) != goesFirst(b))
-            return goesFirst(a);
-        if (a.lateness != b.lateness)
-            return a.lateness < b.lateness;
-        return a.latestStartMs < b.latestStartMs;
-    });
+    putOffLateWork(&units);
+    std::stable_sort(units.begin(), units.end(), startsBefore);
     return units;
 }
 
--- a/src/batch/plan_headroom.cpp
+++ b/src/batch/plan_headroom.cpp
@@ -50,7 +50,7 @@
     for (const auto &[id, job] : input.state->jobs()) {
         if (input.nowMs - job.job.submittedMs > HeadroomWindowMs)
             continue;
-        const queue_policy *queue = queueOf(job.job.queue);
+        const queue_policy *queue = queueOf(job);
         if (queue == nullptr || queue->priority != 0)
             continue;
         ++count;
--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -92,10 +92,12 @@
         fitsAfterStops = fitsAfterStops && isNonNegative(afterStops);
     }
     unreserve(unit, chosen);
-    if (fitsNow)
+    if (fitsNow) {
+        startedByStops[unit.id] = input.nowMs;
         orderRun(unit, chosen);
-    else if (fitsAfterStops)
+    } else if (fitsAfterStops) {
         claim(unit, chosen);
+    }
     return fitsNow || fitsAfterStops;
 }
 
@@ -124,7 +126,9 @@
 std::string plan_maker::describe(const waiting_unit &unit) const
 {
     return absl::StrCat("latest start in ", unit.latestStartMs - input.nowMs, " ms, lateness ",
-                        static_cast<int>(unit.lateness), ", expected ", unit.expectedMs, " ms, ",
+                        static_cast<int>(unit.lateness),
+                        unit.startClass == start_class::InTime ? "" : ", put off in overload",
+                        ", expected ", unit.expectedMs, " ms, ",
                         unit.guaranteed ? "guaranteed, " : "", freeAccelerators(),
                         " accelerators free");
 }
@@ -178,8 +182,10 @@
     // The entry refuses submissions to queues with advice.
     if (unit.queue->needsAdvice || isKnownUnplaceable(unit))
         return;
-    if (!placeNow(unit))
-        noteUnplaceable(unit);
+    if (placeNow(unit))
+        return;
+    noteUnplaceable(unit);
+    reserveForUrgent(unit);
 }
 
 bool plan_maker::placeNow(const waiting_unit &unit)
@@ -231,7 +237,8 @@
 
 void plan_maker::reserveForGang(const waiting_unit &unit)
 {
-    if (reservations >= MaxGangReservations || unit.lateness > 0 || unit.members < 2)
+    if (reservations >= MaxGangReservations || unit.lateness > 0 || unit.members < 2
+        || unit.startClass != start_class::InTime)
         return;
     const auto wholeCapacity
         = [](const worker_availability &worker) { return worker.description->capacity; };
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -3,15 +3,21 @@
 
 #include "hyssoppond/batch/batch_scheduler_base.h"
 
+#include "scarcity_order.h"
+
 #include <absl/container/flat_hash_map.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace hyssoppond::batch {
 
+/// Order of the waiting units, the most important first.
+bool startsBefore(const waiting_unit &a, const waiting_unit &b);
+
 /// Makes the decisions of one plan. Created for one plan and then dropped.
 struct plan_maker
 {
@@ -29,7 +35,8 @@
     /// Part of `headroom` that stays free on workers that run nothing, for items that need more
     /// than half of a worker.
     std::int64_t wholeHeadroom = 0;
-    std::uint32_t reservations = 0; ///< gangs for which capacity is reserved in this plan
+    std::uint32_t reservations = 0;       ///< gangs for which capacity is reserved in this plan
+    std::uint32_t urgentReservations = 0; ///< urgent units for which capacity is reserved
 
     /// Active run of an item or a gang.
     struct active_run
@@ -55,8 +62,21 @@
         const queue_policy *queue = nullptr;
     };
 
+    /// What stopping a run costs.
+    struct stop_cost
+    {
+        double coreSeconds = 0; ///< work thrown away, and what else the stop counts for
+        bool endsSoon = false;  ///< expected to end within the time that a stop takes
+        std::string why;        ///< why it is not just the work since the newest checkpoint
+    };
+
+    /// Time of the order of units that were started on capacity which stops freed.
+    std::map<unit_id, unix_ms> startedByStops = {};
+    /// See stopCostOf(), by index in `runs`.
+    mutable std::vector<std::optional<stop_cost>> stopCosts = {};
+
     std::vector<unplaced_shape> unplaced = {};
-    /// Queues that were looked up, by name; see queueOf().
+    /// Queues that were looked up, by name; see configuredQueue().
     mutable absl::flat_hash_map<std::string_view, const queue_policy *> knownQueues = {};
     /// See membersOfStep().
     mutable absl::flat_hash_map<const step_state *, std::vector<std::uint32_t>> stepMembers = {};
@@ -84,15 +104,28 @@
     using resource_measure = std::function<resources(const worker_availability &)>;
 
     void addUnits(const job_state &job, std::vector<waiting_unit> *units) const;
+    /// Policy that applies to `job`: that of its queue in the configuration or, once the queue is
+    /// removed, the one under which the job was accepted. Null if neither is known.
+    const queue_policy *queueOf(const job_state &job) const;
     /// Policy of the queue `name`; null if the configuration has none. A configuration may hold
     /// thousands of queues, so those of the jobs are looked up once.
-    const queue_policy *queueOf(const std::string &name) const;
+    const queue_policy *configuredQueue(const std::string &name) const;
     /// True for an item that is not urgent if one like it found no place in this plan. What is free
     /// does not grow while the plan is made.
     bool isKnownUnplaceable(const waiting_unit &unit) const;
     void noteUnplaceable(const waiting_unit &unit);
     /// Members of the unit's step on each worker, for steps with a limit of them.
     std::vector<std::uint32_t> &membersOfStep(const waiting_unit &unit) const;
+    /// Sets the start class of units that are better put off, as not all work can end in time.
+    void putOffLateWork(std::vector<waiting_unit> *units) const;
+    /// The same for one service, whose workers have `total` in all.
+    void putOffLateWork(const std::string &service, const resources &total,
+                        std::vector<waiting_unit> *units) const;
+    /// Capacity of the service that runs, `units` that go first and the headroom leave.
+    capacity_forecast forecastFor(const std::string &service, const resources &total,
+                                  const std::vector<waiting_unit> &units) const;
+    /// Share of the work of an occurrence that is done or runs.
+    double investedShare(const job_state &job, std::uint32_t occurrence) const;
     bool placeNow(const waiting_unit &unit);
     /// True if new work of some kind may be ordered from the worker now.
     static bool takesWork(const worker_availability &worker);
@@ -104,12 +137,17 @@
     /// unit.
     std::uint32_t capacityFor(const waiting_unit &unit, const worker_availability &worker,
                               const resources &available) const;
+    /// Place of a worker in the order in which `unit` takes workers, by speed; lower is earlier.
+    static int speedRank(const waiting_unit &unit, const worker_availability &worker);
+    /// Slowness of the slowest of the workers `chosen`.
+    double slownessOf(const std::vector<std::size_t> &chosen) const;
     /// Indexes in `workers` for the members of `unit`, one for each member; empty if they do not
     /// fit. Uses only workers that `accept` lets through, with the resources that `available`
     /// gives.
     std::vector<std::size_t> fit(const waiting_unit &unit, const worker_filter &accept,
                                  const resource_measure &available) const;
-    /// As fit(), with all members in one rack: the one that has the fewest accelerators available.
+    /// As fit(), with all members in one rack: the one whose workers suit the unit best by speed
+    /// and, among equals, that has the fewest accelerators available.
     std::vector<std::size_t> fitInOneRack(const waiting_unit &unit,
                                           const resource_measure &available) const;
     /// The rack of the unit's data, or all racks if its data are in none; indexes in `racks`.
@@ -133,6 +171,13 @@
     /// True if `wholeHeadroom` accelerators stay free on idle workers when work that is not urgent
     /// starts on the workers `chosen`.
     bool leavesIdleWorkers(const std::vector<std::size_t> &chosen) const;
+    /// Reserves the capacity that a waiting urgent unit will take, so that no work starts there
+    /// only to be stopped for it.
+    void reserveForUrgent(const waiting_unit &unit);
+    /// True if the run has to be stopped now, as `worker` leaves before it ends.
+    bool mustLeaveNow(const active_run &run, const worker_description &worker) const;
+    /// True if the run's members fit on workers that take work.
+    bool hasRoomElsewhere(const active_run &run) const;
     /// Reserves the workers of the rack with the most free accelerators for a waiting gang.
     void reserveForGang(const waiting_unit &unit);
     /// Reserves the workers and keeps them for the unit in the next plans.
@@ -149,7 +194,9 @@
     {
         std::size_t run = 0; ///< index in `runs`
         resources here;      ///< resources of its members on the worker
-        double cost = 0;     ///< core-seconds, see preemptionCost()
+        double cost = 0;     ///< core-seconds, see stop_cost
+        /// It is not stopped, as it is expected to end as soon as a stop would.
+        bool endsSoon = false;
     };
     /// Cheapest way to make room for one more member on one worker.
     struct preemption_option
@@ -166,10 +213,10 @@
     };
     struct preemption_plan
     {
-        std::vector<std::size_t> chosen;  ///< indexes in `workers`, one for each member
-        std::vector<std::size_t> victims; ///< indexes in `runs`
-        double cost = 0;                  ///< core-seconds
-        bool isTooCostly = false;         ///< given up at the highest cost
+        std::vector<std::size_t> chosen; ///< indexes in `workers`, one for each member
+        std::vector<victim> victims;
+        double cost = 0;          ///< core-seconds
+        bool isTooCostly = false; ///< given up at the highest cost
     };
 
     /// True if the urgent runs of the unit's team stay within its guarantee when the unit starts.
@@ -184,11 +231,22 @@
     /// if not enough can be preempted for at most `maxCost` core-seconds.
     preemption_plan planPreemption(const waiting_unit &unit, const worker_filter &accept,
                                    double maxCost) const;
+    /// The cheapest plan for `unit` in the racks that it prefers or, if it may, anywhere.
+    preemption_plan cheapestStops(const waiting_unit &unit, double maxCost) const;
     /// Finds the cheapest stops for one more member; runs in `stoppedRuns` are free already.
     void evaluate(preemption_option *option, const waiting_unit &unit,
                   const std::vector<bool> &stoppedRuns) const;
-    /// Cost of stopping a run, in core-seconds.
-    double preemptionCost(const active_run &run) const;
+    /// Lateness of the run's job if the run ends at `endMs`: 0 in time, 1 late, 2 of no use.
+    int latenessOfEnd(const active_run &run, unix_ms endMs) const;
+    stop_cost computeStopCost(const active_run &run) const;
+    /// Cost of stopping the run with this index in `runs`.
+    const stop_cost &stopCostOf(std::size_t run) const;
+    /// The cost and its reason, as the log gives them with a stop.
+    std::string describeStop(std::size_t run) const;
+    /// Takes out the stops that later, larger ones have made needless. `options` holds the
+    /// resources that the plan leaves on each worker.
+    void dropNeedlessStops(const std::vector<preemption_option> &options,
+                           preemption_plan *plan) const;
     /// True if runs of the job `victimJob` may be stopped for `unit`.
     bool mayPreempt(const waiting_unit &unit, const job_state &victimJob) const;
     /// Accelerators that the team's urgent runs use.
