Client limits: look-ups share reads, one address may hold 3/4 of the budget

Each call with an unknown job id read the store over a connection of its own, and the limit on them refused calls. At most 32 such reads are now in flight, and further calls wait and share the next one, which begins after they arrived.

800 well-behaved callers at once through one address with memory_mb 120 met the share of an address (9/16 of the budget). It is now 3/4, and the front may hold 13/16; the control port needs no reserve.

The stand-in's store takes appends of 8 MiB. With 262,144 bytes it refused the appends of some hundred submissions at once, and an entry then needed up to 121 MB while it repeated them.

--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -20,8 +20,8 @@
     /// How long the keys of the teams stay valid without a read that confirms the configuration.
     absl::Duration apiKeyValidity = absl::Seconds(5);
     /// Limit of reads of the store in flight for calls with unknown job ids. Each uses a connection
-    /// to the store; calls beyond it are refused.
-    std::size_t maxLookups = 512;
+    /// to the store and some 100 KB; further calls wait and then share one read.
+    std::size_t maxLookups = 32;
     scheduler_options scheduler;
     absl::Duration evacuateWithin = absl::InfiniteDuration(); ///< see decider_options
 };
@@ -144,6 +144,15 @@
     void status(const routed_call &target, const job_call &call, const responder &respond);
     void cancel(const routed_call &target, const job_call &call, const responder &respond);
     void pending(const routed_call &target, const responder &respond) const;
+    /// A call that needs the journal as of now, or at least of its arrival.
+    struct lookup
+    {
+        absl::Time deadline;
+        std::function<void(bool current)> done;
+    };
+
+    /// Reads the journal once for all `lookups`.
+    void startLookups(std::vector<lookup> lookups);
     /// Calls `found` with the job. Answers the call itself if the team has no such job, or if the
     /// store does not say so before `deadline`.
     void withJob(const routed_call &target, absl::Time deadline, const responder &respond,
@@ -160,6 +169,7 @@
     log_follower m_journal;
     log_writer m_writer;
     std::size_t m_lookups = 0; ///< in flight, see batch_entry_options::maxLookups
+    std::vector<lookup> m_waitingLookups;
     batch_decider m_decider;
     bool m_leaving = false;
     absl::Time m_storeUnreachableSince = absl::InfiniteFuture();
--- a/src/base/client_budget.cpp
+++ b/src/base/client_budget.cpp
@@ -9,37 +9,30 @@
 
 constexpr std::size_t Megabyte = 1'048'576;
 
-/// Largest budget. Hundreds of callers with the largest legal body fit; more memory serves the
+/// Largest budget. It holds some 200 of the largest legal bodies at once; more memory serves the
 /// process's own state better.
 constexpr std::size_t MaxBudgetBytes = 64 * Megabyte;
 /// Smallest budget, for one heartbeat of 4 MiB and a few connections.
 constexpr std::size_t MinBudgetBytes = 6 * Megabyte;
 
-/// `count` / 4 of `bytes`.
-constexpr std::size_t quarters(std::size_t bytes, std::size_t count)
-{
-    return bytes / 4 * count;
-}
-
 } // namespace
 
 budget_limits budgetLimitsFor(std::size_t memoryMb)
 {
     budget_limits limits;
-    const std::size_t total
-        = std::clamp(quarters(memoryMb * Megabyte, 1), MinBudgetBytes, MaxBudgetBytes);
+    const std::size_t total = std::clamp(memoryMb * Megabyte / 4, MinBudgetBytes, MaxBudgetBytes);
     limits.totalBytes = total;
     // A sixteenth serves 16 connections of the readiness port at the smallest budget.
     const std::size_t reserve = total / 16;
-    const std::size_t most = quarters(total, 3);
-    // Callers and the rpc interface keep a quarter free of one address, as that may be one faulty
-    // client. It may also be a load balancer in front of all callers, so the rest is allowed.
-    limits.of(client_listener::Front) = {0, most, quarters(most, 3)};
-    limits.of(client_listener::Rpc) = {0, most, quarters(most, 3)};
+    const std::size_t most = total / 4 * 3;
+    // One address may be one faulty client, and the rest is kept free of it. It may also be a load
+    // balancer in front of all callers, so it may take most.
+    limits.of(client_listener::Front) = {0, most + reserve, most};
+    limits.of(client_listener::Rpc) = {0, most + reserve, most};
     limits.of(client_listener::Readiness) = {reserve, 2 * reserve, 2 * reserve};
     limits.of(client_listener::Metrics) = {reserve, 2 * reserve, 2 * reserve};
     // The one worker of an agent has one address.
-    limits.of(client_listener::Control) = {reserve, most + reserve, most + reserve};
+    limits.of(client_listener::Control) = {0, most + reserve, most + reserve};
     limits.of(client_listener::Peers) = {reserve, most, most};
     return limits;
 }
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace hyssoppond::batch {
 
@@ -397,25 +398,36 @@
             respond(noJobReply());
         return;
     }
-    if (m_lookups >= m_options.maxLookups) {
-        respond(refusal(reason::Overloaded, "too many look-ups of unknown jobs; retry"));
-        return;
-    }
-    ++m_lookups;
     // Another entry may have accepted the job since the last read of the journal.
-    m_journal.barrier(deadline - AnswerMargin,
-                      [this, id, team = target.team, respond, found, noJobReply](bool current) {
-                          --m_lookups;
-                          const job_state *known = m_state.find(id);
-                          if (known != nullptr && known->job.team == team)
-                              found(*known);
-                          else if (current)
-                              respond(noJobReply());
-                          else
-                              respond(
-                                  refusal(reason::LogUnavailable,
-                                          "the store does not say whether the job exists; retry"));
-                      });
+    lookup call {deadline - AnswerMargin,
+                 [this, id, team = target.team, respond, found, noJobReply](bool current) {
+                     const job_state *known = m_state.find(id);
+                     if (known != nullptr && known->job.team == team)
+                         found(*known);
+                     else if (current)
+                         respond(noJobReply());
+                     else
+                         respond(refusal(reason::LogUnavailable,
+                                         "the store does not say whether the job exists; retry"));
+                 }};
+    m_waitingLookups.push_back(std::move(call));
+    if (m_lookups < m_options.maxLookups)
+        startLookups(std::exchange(m_waitingLookups, {}));
+}
+
+void batch_entry::startLookups(std::vector<lookup> lookups)
+{
+    absl::Time deadline = absl::InfinitePast();
+    for (const lookup &call : lookups)
+        deadline = std::max(deadline, call.deadline);
+    ++m_lookups;
+    m_journal.barrier(deadline, [this, lookups = std::move(lookups)](bool current) {
+        --m_lookups;
+        for (const lookup &call : lookups)
+            call.done(current);
+        if (!m_waitingLookups.empty() && m_lookups < m_options.maxLookups)
+            startLookups(std::exchange(m_waitingLookups, {}));
+    });
 }
 
 void batch_entry::status(const routed_call &target, const job_call &call, const responder &respond)
--- a/standins/platform/platform_standin.cpp
+++ b/standins/platform/platform_standin.cpp
@@ -24,6 +24,9 @@
 
 using platform::json;
 
+/// Largest append that the store takes. Some hundred submissions at once come in one of 3 MB.
+constexpr std::size_t MaxAppendBytes = 8'388'608;
+
 /// Time between two heartbeats of a runner.
 constexpr absl::Duration HeartbeatInterval = absl::Milliseconds(500);
 
@@ -88,6 +91,7 @@
         http_server_options options;
         options.host = host;
         options.port = port;
+        options.maxBodyBytes = MaxAppendBytes;
         m_storeServer = std::make_unique<http_server>(
             &m_loop, options, [this](const http_request &request, const http_responder &respond) {
                 handleStore(request, respond);
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -124,6 +124,35 @@
     EXPECT_EQ(missing->kind, reply_kind::NoJob);
 }
 
+// Guards against a read of the store, and so a connection, for each of many calls with unknown ids,
+// and against calls among them that are not answered or miss a job accepted just before.
+TEST_F(batch_test, manyLookupsShareReadsOfTheStore)
+{
+    constexpr std::uint64_t Calls = 500;
+    start();
+    const std::string id = batch_site::idOf(5);
+    m_site->submit("entry-0", id, "normal", batch_site::stepOf(1, 1, false));
+    m_site->clock.runFor(absl::Milliseconds(9));
+    std::size_t reads = 0;
+    store_port &port = m_site->entries.at("entry-1")->port;
+    const auto read = port.read;
+    port.read = [&reads, read](const auto &request, const auto &done) {
+        ++reads;
+        read(request, done);
+    };
+    std::vector<std::shared_ptr<job_reply>> missing;
+    for (std::uint64_t i = 0; i < Calls; ++i)
+        missing.push_back(
+            m_site->call("entry-1", call_kind::Status, "/normal/" + batch_site::idOf(1'000 + i)));
+    const auto reply = m_site->call("entry-1", call_kind::Status, "/normal/" + id);
+    m_site->clock.runFor(absl::Milliseconds(200));
+    port.read = read;
+    EXPECT_LT(reads, Calls / 4);
+    EXPECT_EQ(reply->kind, reply_kind::Status);
+    for (const auto &answer : missing)
+        EXPECT_EQ(answer->kind, reply_kind::NoJob);
+}
+
 // Guards against a restarted agent that stops or repeats the runs of its previous process.
 TEST_F(batch_test, restartedAgentAdoptsTheRunsOfItsWorker)
 {
