--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace hyssoppond::batch {
 
@@ -155,6 +156,7 @@
     m_journal.tick();
     m_writer.tick();
     m_decider.tick();
+    expireLookups();
     const absl::Duration standbyInterval
         = m_options.wakeAddress.empty() ? StandbyReadInterval : StandbyReadIntervalWithWakes;
     m_journal.setMinReadInterval(m_decider.isDeciding() ? DecidingReadInterval : standbyInterval);
@@ -163,7 +165,7 @@
 absl::Time batch_entry::nextDeadline() const
 {
     return std::min({m_configFollower.nextDeadline(), m_journal.nextDeadline(),
-                     m_writer.nextDeadline(), m_decider.nextDeadline()});
+                     m_writer.nextDeadline(), m_decider.nextDeadline(), nextLookupDeadline()});
 }
 
 std::vector<std::string> batch_entry::peerAddresses() const
@@ -229,45 +231,54 @@
     return reply;
 }
 
-void batch_entry::handle(job_call call, const responder &respond)
+std::optional<job_reply> batch_entry::refusalOf(const job_call &call) const
 {
-    if (!m_config) {
-        respond(refusal(reason::LogUnavailable, "the configuration is not loaded yet; retry"));
-        return;
-    }
+    routed_call target;
+    return findTarget(call, &target);
+}
+
+std::optional<job_reply> batch_entry::findTarget(const job_call &call, routed_call *target) const
+{
+    if (!m_config)
+        return refusal(reason::LogUnavailable, "the configuration is not loaded yet; retry");
     const absl::Duration configAge = m_hooks.now() - m_configFollower.currentAsOf();
-    if (configAge > m_options.apiKeyValidity - KeyExpiryMargin) {
-        respond(refusal(reason::LogUnavailable, "the configuration may be outdated; retry"));
-        return;
-    }
-    const result<routed_call> target = route(call);
-    if (!target) {
-        respond(replyFor(target.error()));
+    if (configAge > m_options.apiKeyValidity - KeyExpiryMargin)
+        return refusal(reason::LogUnavailable, "the configuration may be outdated; retry");
+    result<routed_call> found = route(call);
+    if (!found)
+        return replyFor(found.error());
+    *target = std::move(*found);
+    const bool isPending
+        = call.kind == call_kind::Pending || (call.kind == call_kind::Status && target->id.empty());
+    if (!isPending && !isJobId(target->id))
+        return replyFor(
+            {call.kind == call_kind::Submit ? reason::InvalidArgument : reason::UnknownJob,
+             "the job's id is malformed; use 16 hexadecimal digits", execution::NotRun,
+             absl::InfiniteFuture(), 0});
+    return std::nullopt;
+}
+
+void batch_entry::handle(job_call call, const responder &respond)
+{
+    routed_call target;
+    if (const std::optional<job_reply> refused = findTarget(call, &target)) {
+        respond(*refused);
         return;
     }
-    if (call.kind == call_kind::Status && target->id.empty())
+    if (call.kind == call_kind::Status && target.id.empty())
         call.kind = call_kind::Pending;
-    if (call.kind != call_kind::Pending) {
-        if (!isJobId(target->id)) {
-            respond(replyFor(
-                {call.kind == call_kind::Submit ? reason::InvalidArgument : reason::UnknownJob,
-                 "the job's id is malformed; use 16 hexadecimal digits", execution::NotRun,
-                 absl::InfiniteFuture(), 0}));
-            return;
-        }
-    }
     switch (call.kind) {
     case call_kind::Submit:
-        submit(*target, std::move(call), respond);
+        submit(target, std::move(call), respond);
         break;
     case call_kind::Status:
-        status(*target, call, respond);
+        status(target, call, respond);
         break;
     case call_kind::Cancel:
-        cancel(*target, call, respond);
+        cancel(target, call, respond);
         break;
     case call_kind::Pending:
-        pending(*target, respond);
+        pending(target, respond);
         break;
     }
 }
@@ -327,17 +338,19 @@
         return;
     }
     // Another entry may have accepted the job since the last read of the journal.
-    m_journal.barrier(
-        deadline - AnswerMargin, [this, id, target, respond, found, noJobReply](bool current) {
-            const job_state *known = m_state.find(id);
-            if (known != nullptr && mayAccess(target, *known))
-                found(*known);
-            else if (current)
-                respond(noJobReply());
-            else
-                respond(refusal(reason::LogUnavailable,
-                                "the store does not say whether the job exists; retry"));
-        });
+    auto call = std::make_shared<lookup>();
+    call->deadline = deadline - AnswerMargin;
+    call->done = [this, id, target, respond, found, noJobReply](bool current) {
+        const job_state *known = m_state.find(id);
+        if (known != nullptr && mayAccess(target, *known))
+            found(*known);
+        else if (current)
+            respond(noJobReply());
+        else
+            respond(refusal(reason::LogUnavailable,
+                            "the store does not say whether the job exists; retry"));
+    };
+    addLookup(std::move(call));
 }
 
 void batch_entry::status(const routed_call &target, const job_call &call, const responder &respond)
