--- a/tests/client_crowd_test.cpp
+++ b/tests/client_crowd_test.cpp
@@ -227,10 +227,11 @@
     for (const std::string &unit : units) {
         crowd_plan plan;
         plan.connections = 24;
-        plan.unit = unit;
-        plan.units = (MaxBodyBytes - 100) / unit.size();
+        for (int i = 0; i < 1000; ++i)
+            plan.unit += unit;
+        plan.units = (MaxBodyBytes - 100) / plan.unit.size();
         plan.tail = R"("team":"none"})";
-        const std::size_t size = 1 + unit.size() * plan.units + plan.tail.size();
+        const std::size_t size = 1 + plan.unit.size() * plan.units + plan.tail.size();
         plan.head = headOf(SubmitPath, absl::StrCat("Content-Length: ", size)) + "{";
         crowds.push_back(std::make_unique<client_crowd>(http(), plan));
         crowds.back()->send();
