Native interfaces: bounds for what clients make a process hold

Nothing accounted for bodies of procedures in total, for bodies of requests that would be refused, for the parsed form of many short fields, for incomplete frames below 64 MiB, or for received frames that wait. Connections without a request or a frame could take all connections and descriptors.

- rpc server: path, method and length are checked from the head, and a body that will be refused is not stored.
Bodies and unread answers are charged to client_budget.
When it is short, the connection without progress for longest, of the address that holds most, is closed; if that is the client itself, it is refused with Overloaded, NotRun and HTTP 503.
Near the limit of connections one is closed likewise.
GET pages are not charged.
- Bodies have at most 10,000 fields and 32 nested objects; bodies from 256 KiB on are decoded one at a time.
- Transport: a connection without a valid frame is closed after 10 s, and earlier if connections or bytes are short; 256 connections per address; incomplete frames and frames that wait for their hook are charged to the share of peers, which callers cannot take.
A large buffer is freed after its frame.
- datagram_socket reads at most 64 datagrams before other descriptors are served.
- Settings memory-mb, rpc-connections, peer-connections and peer-connections-per-address; counters and a log line per second.

--- a/include/hyssoppond/agent/agent_node_base.h
+++ b/include/hyssoppond/agent/agent_node_base.h
@@ -22,6 +22,7 @@
     address metrics;         ///< address of the HTTP server with /metrics and /healthz
     std::size_t threads = 2; ///< threads that run the state machines
     gang_options gang;
+    client_settings clients;
 };
 
 /// One agent process. start() and stop() are called from the same thread.
--- a/include/hyssoppond/entry/entry_node_base.h
+++ b/include/hyssoppond/entry/entry_node_base.h
@@ -21,6 +21,7 @@
     address http;            ///< where remote procedure calls, /metrics and /healthz are served
     std::size_t threads = 4; ///< threads that run the state machines
     cluster_settings cluster;
+    client_settings clients;
 };
 
 /// One entry process. Call start() and stop() from the same thread.
--- a/include/hyssoppond/node/node_link_base.h
+++ b/include/hyssoppond/node/node_link_base.h
@@ -16,12 +16,22 @@
 
 namespace hyssoppond {
 
+/// Limits of what clients make a process hold.
+struct client_settings
+{
+    client_budget *budget = nullptr; ///< null: no limit of the total; must outlive the process
+    unsigned rpcConnections = 1000;
+    std::size_t peerConnections = 1024;          ///< in each direction
+    std::size_t peerConnectionsPerAddress = 256; ///< incoming
+};
+
 /// Settings of a node_link.
 struct node_link_settings
 {
     endpoint self; ///< the process listens at its control address
     process_role role = process_role::Entry;
     std::vector<address> seeds; ///< control addresses of processes to join through
+    client_settings clients = {};
 };
 
 /// Callbacks through which an entry or an agent handles received frames and changes. Called on
--- a/include/hyssoppond/rpc/rpc_server_base.h
+++ b/include/hyssoppond/rpc/rpc_server_base.h
@@ -14,6 +14,8 @@
 
 namespace hyssoppond {
 
+class client_budget;
+
 /// Function that sends the answer of a procedure: the response message or a typed error.
 using rpc_reply = std::function<void(result<std::unique_ptr<google::protobuf::Message>>)>;
 
@@ -61,6 +63,9 @@
     unsigned maxConnections = 1000;
     unsigned threads = 4;
     unsigned idleSeconds = 60; ///< idle time in s after which a connection is closed
+    /// Accounts for what clients make the server hold; null: without a limit of the total. Must
+    /// outlive the server.
+    client_budget *budget = nullptr;
 };
 
 /// Serves procedures to POST and pages to GET. They are added before start().
--- a/include/hyssoppond/transport/transport_base.h
+++ b/include/hyssoppond/transport/transport_base.h
@@ -15,6 +15,8 @@
 
 namespace hyssoppond {
 
+class client_budget;
+
 /// Settings of the transport. Only the settings hold durations; the transport stores deadlines.
 struct transport_settings
 {
@@ -22,9 +24,13 @@
     process_id self;
     incarnation_number incarnation = 0;
     std::size_t maxFrameBytes = 1 << 20;
-    std::size_t maxConnections = 1024; ///< in each direction
+    std::size_t maxConnections = 1024;          ///< in each direction
+    std::size_t maxConnectionsPerAddress = 256; ///< incoming
     /// In the incomplete frames of all incoming connections.
     std::size_t maxPartialFrameBytes = 64U << 20;
+    /// Accounts for incomplete frames and for received frames that wait for their hook; null: not
+    /// accounted for. Must outlive the transport.
+    client_budget *budget = nullptr;
     std::size_t maxQueuedFrames = 256;     ///< for each peer; the oldest is dropped
     std::size_t maxQueuedBytes = 8U << 20; ///< for each peer; the oldest is dropped
     std::size_t threads = 2;               ///< threads that run the receive hooks
@@ -37,6 +43,9 @@
     absl::Duration probeTimeout = absl::Seconds(1);
     /// A connection without data for this time is closed; twice that if incoming.
     absl::Duration idleTimeout = absl::Seconds(30);
+    /// An incoming connection is closed if it has not sent a valid frame after this time. Peers
+    /// connect only when they have a frame to send.
+    absl::Duration firstFrameTimeout = absl::Seconds(10);
     /// Time to receive the rest of an incomplete frame.
     absl::Duration partialFrameTimeout = absl::Seconds(5);
 };
--- a/src/agent/agent_node.cpp
+++ b/src/agent/agent_node.cpp
@@ -35,15 +35,19 @@
     , m_worker(std::move(worker))
     , m_runner(std::move(runner))
     , m_pool(std::make_unique<thread_pool>("machines", m_settings.threads, MaxQueuedPoolTasks))
-    , m_http({.listen = m_settings.metrics, .threads = 1}, counters)
+    , m_http({.listen = m_settings.metrics,
+              .maxConnections = m_settings.clients.rpcConnections,
+              .threads = 1,
+              .budget = m_settings.clients.budget},
+             counters)
 {
     node_link_hooks hooks;
     hooks.onGang = [this](const frame &received) { onGang(received); };
     hooks.onCall = [this](const frame &received) { onCall(received); };
     hooks.onConfig = [this](const journal::config_item &item) { onConfig(item); };
-    m_link = std::make_unique<node_link>(
-        node_link_settings {m_settings.self, process_role::Agent, m_settings.seeds},
-        std::move(hooks), m_pool.get(), counters);
+    m_link = std::make_unique<node_link>(node_link_settings {m_settings.self, process_role::Agent,
+                                                             m_settings.seeds, m_settings.clients},
+                                         std::move(hooks), m_pool.get(), counters);
     m_http.addPage("/metrics",
                    [this] { return http_page {.body = m_counters->renderPrometheus()}; });
     m_http.addPage("/healthz", [this] {
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,4 +1,5 @@
 /// @file The daemon, which runs as an entry or as an agent depending on its settings.
+#include "client_limits.h"
 #include "hyssoppond/agent/agent_node_base.h"
 #include "hyssoppond/base/log_func.h"
 #include "hyssoppond/base/process_clock_base.h"
@@ -68,6 +69,13 @@
          86'400},
         {"shutdown-seconds", kind::Number, "30", "time to finish requests at shutdown, in s", 0,
          3600},
+        {"memory-mb", kind::Number, "0", "memory of the machine in MB; 0: as the system reports", 0,
+         16'777'216},
+        {"rpc-connections", kind::Number, "1000", "connections at the address --http", 16, 100'000},
+        {"peer-connections", kind::Number, "1024", "connections at the address --control", 16,
+         100'000},
+        {"peer-connections-per-address", kind::Number, "256",
+         "connections at the address --control from one address", 1, 100'000},
         {"log-level",
          kind::Text,
          "info",
@@ -188,6 +196,8 @@
     entry.cluster.outageLease = absl::Seconds(values.number("outage-right-seconds"));
     http_log_options log;
     log.server = addressOf(values.address("log"));
+    client_budget budget(clientLimits(values));
+    entry.clients = clientSettings(values, &budget);
     entry_node node(entry, std::make_unique<http_log_port>(log), &counters);
     return serve(&node, values, signals);
 }
@@ -211,6 +221,8 @@
     if (!values.text("runner-url").empty())
         runner = std::make_unique<http_runner_port>(http_runner_options {
             values.text("runner-url"), static_cast<std::size_t>(values.number("runner-slots"))});
+    client_budget budget(clientLimits(values));
+    agent.clients = clientSettings(values, &budget);
     agent_node node(agent, std::move(worker), std::move(runner), &counters);
     return serve(&node, values, signals);
 }
@@ -287,6 +299,7 @@
     }
     sigset_t signals;
     initializeProcess(&signals);
+    returnLargeBlocks();
     startLog(LogLevelNames.find(values->text("log-level")).value_or(log_level::Info),
              values->text("name"), values->text("zone"));
     return values->text("role") == "entry" ? serveEntry(*values, signals)
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -29,7 +29,10 @@
     , m_counters(counters)
     , m_log(std::move(log))
     , m_pool(std::make_unique<thread_pool>("machines", m_settings.threads, PoolQueueLimit))
-    , m_http({.listen = m_settings.http}, counters)
+    , m_http({.listen = m_settings.http,
+              .maxConnections = m_settings.clients.rpcConnections,
+              .budget = m_settings.clients.budget},
+             counters)
 {
     node_link_hooks hooks;
     hooks.onGang = [this](const frame &received) { onGang(received); };
@@ -39,9 +42,9 @@
     hooks.onStale = [this](bool stale) {
         m_clusterStrand->post([this, stale] { m_cluster->setStale(stale); });
     };
-    m_link = std::make_unique<node_link>(
-        node_link_settings {m_settings.self, process_role::Entry, m_settings.seeds},
-        std::move(hooks), m_pool.get(), counters);
+    m_link = std::make_unique<node_link>(node_link_settings {m_settings.self, process_role::Entry,
+                                                             m_settings.seeds, m_settings.clients},
+                                         std::move(hooks), m_pool.get(), counters);
     m_cluster = std::make_unique<cluster_controller>(m_settings.cluster, m_link->env(), m_log.get(),
                                                      clusterHooks());
     m_router = std::make_unique<call_router>(routerSettings(), m_link->env(), routerHooks());
--- a/src/loop/datagram_socket.cpp
+++ b/src/loop/datagram_socket.cpp
@@ -30,6 +30,10 @@
     return address;
 }
 
+/// Datagrams read before the other descriptors of the loop are served. The loop reports the rest
+/// again, so that a flood of datagrams delays the others only this long.
+constexpr int MaxDatagramsPerEvent = 64;
+
 } // namespace
 
 datagram_socket::datagram_socket(event_loop *loop, const std::string &host, std::uint16_t port,
@@ -67,10 +71,14 @@
 
 void datagram_socket::receive()
 {
-    std::array<char, MaxDatagramBytes> buffer {};
-    ssize_t size = 0;
-    while ((size = recv(m_socket, buffer.data(), buffer.size(), 0)) > 0)
-        m_handler(std::string(buffer.data(), static_cast<std::size_t>(size)));
+    std::array<char, MaxDatagramBytes> buffer;
+    for (int i = 0; i < MaxDatagramsPerEvent; ++i) {
+        const ssize_t size = recv(m_socket, buffer.data(), buffer.size(), 0);
+        if (size < 0)
+            return;
+        if (size > 0)
+            m_handler(std::string(buffer.data(), static_cast<std::size_t>(size)));
+    }
 }
 
 } // namespace hyssoppond
--- a/src/node/node_link.cpp
+++ b/src/node/node_link.cpp
@@ -27,12 +27,15 @@
             }};
 }
 
-transport_settings transportSettings(const endpoint &self)
+transport_settings transportSettings(const endpoint &self, const client_settings &clients)
 {
     transport_settings values;
     values.listen = self.control;
     values.self = self.agent;
     values.incarnation = self.incarnation;
+    values.maxConnections = clients.peerConnections;
+    values.maxConnectionsPerAddress = clients.peerConnectionsPerAddress;
+    values.budget = clients.budget;
     return values;
 }
 
@@ -81,7 +84,8 @@
     receive.zoneOf = [this](const address &where) { return m_addresses.zoneOf(where); };
     receive.ownZone = m_settings.self.zone;
     receive.counters = counters;
-    m_transport = std::make_unique<transport>(transportSettings(m_settings.self), receive);
+    m_transport = std::make_unique<transport>(
+        transportSettings(m_settings.self, m_settings.clients), receive);
 }
 
 node_link::~node_link()
--- a/src/rpc/rpc_codec_func.h
+++ b/src/rpc/rpc_codec_func.h
@@ -17,7 +17,13 @@
 /// Returns the value of the HTTP header Content-Type for an encoding.
 const char *contentTypeOf(body_encoding encoding);
 
-/// Decodes a request. Errors: MalformedRequest, or UnknownField if the schema lacks a field.
+/// Checks that a body of a message of `type` has few fields and little nesting, since the parsed
+/// form of many short fields takes many times the memory of the body. Error: MalformedRequest.
+result<void> checkBodyBounds(const std::string &body, body_encoding encoding,
+                             const google::protobuf::Descriptor *type);
+
+/// Decodes a request within the bounds of checkBodyBounds(). Errors: MalformedRequest, or
+/// UnknownField if the schema lacks a field.
 result<void> decodeBody(const std::string &body, body_encoding encoding,
                         google::protobuf::Message *message);
 
--- a/src/rpc/rpc_server.cpp
+++ b/src/rpc/rpc_server.cpp
@@ -4,8 +4,10 @@
 #include "hyssoppond/base/process_clock_base.h"
 
 #include "rpc_codec_func.h"
+#include "rpc_connections.h"
 
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
 #include <absl/synchronization/mutex.h>
 #include <arpa/inet.h>
@@ -13,16 +15,30 @@
 #include <netinet/in.h>
 
 #include <atomic>
+#include <optional>
+#include <string_view>
 
 namespace hyssoppond {
 
 namespace {
 
+/// A body that is longer than this many times the limit closes its connection instead of being read
+/// and answered.
+constexpr std::size_t MaxDiscardedBodies = 4;
+/// Bodies from this size on are decoded one at a time, because decoding JSON takes several times
+/// the memory of the body.
+constexpr std::size_t LargeBodyBytes = 256 * 1024;
+/// Time after which a client may retry that was refused because the budget was short.
+constexpr absl::Duration BudgetRetryTime = absl::Seconds(1);
+
 /// State of one HTTP request from its first header to the end of its answer.
 struct exchange
 {
-    std::string body;
-    bool tooLarge = false;
+    std::size_t received = 0;          ///< bytes of the body, also of a refused one
+    std::optional<std::size_t> length; ///< of the body, if the head tells it
+    /// Why the body is not stored and the request will not run.
+    std::optional<error> refusal;
+    const rpc_method *method = nullptr; ///< null for a GET or a refused request
     bool dispatched = false; ///< the request was answered directly or passed to its procedure
     absl::Mutex mutex;
     bool answered ABSL_GUARDED_BY(mutex) = false;
@@ -35,6 +51,42 @@
             encodeBody(toMessage(problem, processNow()), encoding)};
 }
 
+const char *headerOf(MHD_Connection *connection, const char *name)
+{
+    return MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
+}
+
+body_encoding encodingOf(MHD_Connection *connection)
+{
+    const char *type = headerOf(connection, MHD_HTTP_HEADER_CONTENT_TYPE);
+    return type != nullptr && absl::StartsWith(type, "application/x-protobuf")
+        ? body_encoding::Binary
+        : body_encoding::Json;
+}
+
+/// Numeric address of the client, without its port.
+std::string addressOf(MHD_Connection *connection)
+{
+    const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    char text[INET6_ADDRSTRLEN] = "";
+    if (info == nullptr || info->client_addr == nullptr)
+        return "";
+    if (info->client_addr->sa_family == AF_INET) {
+        const auto *v4 = reinterpret_cast<const sockaddr_in *>(info->client_addr);
+        inet_ntop(AF_INET, &v4->sin_addr, text, sizeof text);
+    } else if (info->client_addr->sa_family == AF_INET6) {
+        const auto *v6 = reinterpret_cast<const sockaddr_in6 *>(info->client_addr);
+        inet_ntop(AF_INET6, &v6->sin6_addr, text, sizeof text);
+    }
+    return text;
+}
+
+error tooLarge(std::size_t maxBodyBytes)
+{
+    return {reason::BodyTooLarge,
+            absl::StrFormat("body is larger than %d bytes; send less", maxBodyBytes)};
+}
+
 } // namespace
 
 struct rpc_server::implementation
@@ -43,6 +95,8 @@
     counter_registry *counters;
     std::map<std::string, rpc_method> methods;
     std::map<std::string, std::function<http_page()>> pages;
+    std::unique_ptr<rpc_connections> connections;
+    absl::Mutex largeBodyMutex; ///< held while a large body is decoded
     MHD_Daemon *daemon = nullptr;
     /// Number of requests whose first header has arrived and whose answer is not completely sent.
     std::atomic<std::size_t> active {0};
@@ -60,13 +114,23 @@
     /// Called by libmicrohttpd after a request, whether it was answered or its connection was lost.
     static void onCompleted(void *self, MHD_Connection *connection, void **state,
                             MHD_RequestTerminationCode code);
+    /// Called by libmicrohttpd when a connection is accepted and before its socket is closed.
+    static void onConnection(void *self, MHD_Connection *connection, void **state,
+                             MHD_ConnectionNotificationCode code);
 
+    /// Decides from the head whether the body is stored, and answers at once if it need not be
+    /// read.
+    MHD_Result handleHead(MHD_Connection *connection, const std::string &url,
+                          const std::string &method, exchange *current);
+    /// Stores or drops a part of the body. MHD_NO closes the connection.
+    MHD_Result handleBody(MHD_Connection *connection, std::string_view part, exchange *current);
     /// Handles a request whose body is complete. Sends the answer if there is one already.
     MHD_Result handleRequest(MHD_Connection *connection, const std::string &url,
                              const std::string &method, const std::shared_ptr<exchange> &current);
     /// Suspends the connection and passes the request to its procedure.
-    void dispatch(MHD_Connection *connection, const std::string &url,
-                  const std::shared_ptr<exchange> &current);
+    MHD_Result dispatch(MHD_Connection *connection, const std::shared_ptr<exchange> &current);
+    result<void> decode(const std::string &body, body_encoding encoding,
+                        google::protobuf::Message *request);
     /// Sets the answer and resumes the connection. Does nothing if the request has an answer or its
     /// connection was lost.
     void finish(const std::shared_ptr<exchange> &current, http_page page);
@@ -129,32 +193,96 @@
     MHD_resume_connection(connection);
 }
 
-void rpc_server::implementation::dispatch(MHD_Connection *connection, const std::string &url,
-                                          const std::shared_ptr<exchange> &current)
+result<void> rpc_server::implementation::decode(const std::string &body, body_encoding encoding,
+                                                google::protobuf::Message *request)
 {
-    const char *type
-        = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_TYPE);
-    const auto encoding = type != nullptr && absl::StartsWith(type, "application/x-protobuf")
-        ? body_encoding::Binary
-        : body_encoding::Json;
+    if (body.size() < LargeBodyBytes)
+        return decodeBody(body, encoding, request);
+    const absl::MutexLock lock(&largeBodyMutex);
+    return decodeBody(body, encoding, request);
+}
+
+MHD_Result rpc_server::implementation::dispatch(MHD_Connection *connection,
+                                                const std::shared_ptr<exchange> &current)
+{
+    std::optional<std::string> body = connections->takeBody(connection);
+    if (!body)
+        return MHD_NO;
+    const body_encoding encoding = encodingOf(connection);
     {
         const absl::MutexLock lock(&mutex);
         pending[current] = {connection, encoding};
     }
     MHD_suspend_connection(connection);
-    const auto method = findMethod(url);
-    if (!method)
-        return finish(current, refusalPage(method.error(), encoding));
-    const auto request = (*method)->newRequest();
-    const auto decoded = decodeBody(current->body, encoding, request.get());
-    if (!decoded)
-        return finish(current, refusalPage(decoded.error(), encoding));
-    (*method)->handle(*request, [this, current, encoding](auto answer) {
+    const auto request = current->method->newRequest();
+    const auto decoded = decode(*body, encoding, request.get());
+    body.reset();
+    if (!decoded) {
+        finish(current, refusalPage(decoded.error(), encoding));
+        return MHD_YES;
+    }
+    current->method->handle(*request, [this, current, encoding](auto answer) {
         if (!answer)
             finish(current, refusalPage(answer.error(), encoding));
         else
             finish(current, {200, contentTypeOf(encoding), encodeBody(**answer, encoding)});
     });
+    return MHD_YES;
+}
+
+MHD_Result rpc_server::implementation::handleHead(MHD_Connection *connection,
+                                                  const std::string &url, const std::string &method,
+                                                  exchange *current)
+{
+    std::uint64_t length = 0;
+    const char *lengthText = headerOf(connection, MHD_HTTP_HEADER_CONTENT_LENGTH);
+    if (lengthText != nullptr && absl::SimpleAtoi(lengthText, &length))
+        current->length = length;
+    if (method == MHD_HTTP_METHOD_POST) {
+        const auto found = findMethod(url);
+        if (found)
+            current->method = *found;
+        else
+            current->refusal = found.error();
+        if (length > options.maxBodyBytes)
+            current->refusal = tooLarge(options.maxBodyBytes);
+    } else if (method != MHD_HTTP_METHOD_GET) {
+        current->refusal
+            = error {reason::MalformedRequest,
+                     "the HTTP method is neither GET nor POST; use POST for procedures"};
+    }
+    // A client that waits for the interim answer has not sent its body yet. The answer to any other
+    // client may be lost when the connection is closed with unread bytes, so that bodies which are
+    // not far over the limit are read first.
+    const bool waits = headerOf(connection, MHD_HTTP_HEADER_EXPECT) != nullptr;
+    if (length > MaxDiscardedBodies * options.maxBodyBytes || (current->refusal && waits)) {
+        current->dispatched = true;
+        return respond(connection,
+                       refusalPage(current->refusal.value_or(tooLarge(options.maxBodyBytes)),
+                                   encodingOf(connection)));
+    }
+    return MHD_YES;
+}
+
+MHD_Result rpc_server::implementation::handleBody(MHD_Connection *connection, std::string_view part,
+                                                  exchange *current)
+{
+    current->received += part.size();
+    if (current->received > MaxDiscardedBodies * options.maxBodyBytes)
+        return MHD_NO;
+    if (current->received > options.maxBodyBytes && !current->refusal) {
+        current->refusal = tooLarge(options.maxBodyBytes);
+        connections->endRequest(connection); // frees what was stored
+    }
+    // The pages take no body, and bodies of refused requests are not stored.
+    if (current->method == nullptr || current->refusal)
+        return MHD_YES;
+    if (!connections->appendBody(connection, part, current->length)) {
+        current->refusal = error {reason::Overloaded,
+                                  "clients make this entry hold too much; retry at another one",
+                                  execution::NotRun, processNow() + BudgetRetryTime};
+    }
+    return MHD_YES;
 }
 
 MHD_Result rpc_server::implementation::handleRequest(MHD_Connection *connection,
@@ -164,8 +292,12 @@
 {
     {
         const absl::MutexLock lock(&current->mutex);
-        if (current->answered)
-            return respond(connection, current->answer);
+        if (current->answered) {
+            connections->beginAnswer(connection, current->answer.body.size());
+            const MHD_Result queued = respond(connection, current->answer);
+            current->answer.body = std::string(); // the response has a copy
+            return queued;
+        }
     }
     if (current->dispatched)
         return MHD_YES;
@@ -175,21 +307,13 @@
         return respond(connection,
                        page != pages.end() ? page->second() : http_page {404, "text/plain", ""});
     }
-    if (method != MHD_HTTP_METHOD_POST) {
-        return respond(
-            connection,
-            refusalPage({reason::MalformedRequest,
-                         "the HTTP method is neither GET nor POST; use POST for procedures"},
-                        body_encoding::Json));
+    if (current->refusal) {
+        http_page page = refusalPage(*current->refusal, encodingOf(connection));
+        if (current->refusal->why == reason::Overloaded)
+            page.status = MHD_HTTP_SERVICE_UNAVAILABLE;
+        return respond(connection, page);
     }
-    if (current->tooLarge) {
-        const error problem {
-            reason::BodyTooLarge,
-            absl::StrFormat("body is larger than %d bytes; send less", options.maxBodyBytes)};
-        return respond(connection, refusalPage(problem, body_encoding::Json));
-    }
-    dispatch(connection, url, current);
-    return MHD_YES;
+    return dispatch(connection, current);
 }
 
 MHD_Result rpc_server::implementation::onRequest(void *self, MHD_Connection *connection,
@@ -200,21 +324,19 @@
     if (*state == nullptr) {
         *state = new std::shared_ptr<exchange>(std::make_shared<exchange>());
         ++server->active;
-        return MHD_YES;
+        return server->handleHead(connection, url, method,
+                                  static_cast<std::shared_ptr<exchange> *>(*state)->get());
     }
     const std::shared_ptr<exchange> current = *static_cast<std::shared_ptr<exchange> *>(*state);
     if (*size != 0) {
-        if (current->body.size() + *size > server->options.maxBodyBytes)
-            current->tooLarge = true;
-        else
-            current->body.append(data, *size);
+        const std::string_view part(data, *size);
         *size = 0;
-        return MHD_YES;
+        return server->handleBody(connection, part, current.get());
     }
     return server->handleRequest(connection, url, method, current);
 }
 
-void rpc_server::implementation::onCompleted(void *self, MHD_Connection *, void **state,
+void rpc_server::implementation::onCompleted(void *self, MHD_Connection *connection, void **state,
                                              MHD_RequestTerminationCode)
 {
     auto *server = static_cast<implementation *>(self);
@@ -225,16 +347,29 @@
         const absl::MutexLock lock(&server->mutex);
         server->pending.erase(*current);
     }
+    server->connections->endRequest(connection);
     delete current;
     *state = nullptr;
     --server->active;
 }
 
+void rpc_server::implementation::onConnection(void *self, MHD_Connection *connection, void **,
+                                              MHD_ConnectionNotificationCode code)
+{
+    auto *server = static_cast<implementation *>(self);
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+        return server->connections->remove(connection);
+    const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    server->connections->add(connection, info->connect_fd, addressOf(connection));
+}
+
 rpc_server::rpc_server(rpc_server_options options, counter_registry *counters)
     : m_implementation(std::make_unique<implementation>())
 {
     m_implementation->options = std::move(options);
     m_implementation->counters = counters;
+    m_implementation->connections = std::make_unique<rpc_connections>(
+        m_implementation->options.maxConnections, m_implementation->options.budget, counters);
 }
 
 rpc_server::~rpc_server()
@@ -281,7 +416,8 @@
         m_implementation.get(), MHD_OPTION_SOCK_ADDR, listenAddress, MHD_OPTION_THREAD_POOL_SIZE,
         options.threads, MHD_OPTION_CONNECTION_LIMIT, options.maxConnections,
         MHD_OPTION_CONNECTION_TIMEOUT, options.idleSeconds, MHD_OPTION_NOTIFY_COMPLETED,
-        &implementation::onCompleted, m_implementation.get(), MHD_OPTION_END);
+        &implementation::onCompleted, m_implementation.get(), MHD_OPTION_NOTIFY_CONNECTION,
+        &implementation::onConnection, m_implementation.get(), MHD_OPTION_END);
     if (m_implementation->daemon == nullptr) {
         return fail(reason::InvalidArgument,
                     absl::StrFormat("cannot listen on %s:%d; choose a free port of this machine",
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -12,6 +12,8 @@
 // Reads from one connection in one iteration of the I/O loop. The limit keeps a busy connection
 // from delaying the others.
 constexpr int MaxReadsPerIteration = 4;
+// Buffer that a connection may keep between frames.
+constexpr std::size_t MaxIdleBufferBytes = 4096;
 
 std::size_t decodeLength(std::string_view prefix)
 {
@@ -79,19 +81,28 @@
 io_outcome connection::extractFrames(const std::function<io_outcome(std::string_view)> &onFrame)
 {
     std::size_t consumed = 0;
+    std::size_t wanted = 0; // size of the incomplete frame with its prefix
     while (m_received.size() - consumed >= PrefixBytes) {
         const std::string_view rest = std::string_view(m_received).substr(consumed);
         const std::size_t length = decodeLength(rest);
         if (length > m_maxFrameBytes)
             return io_outcome::Malformed;
-        if (rest.size() < PrefixBytes + length)
+        if (rest.size() < PrefixBytes + length) {
+            wanted = PrefixBytes + length;
             break;
+        }
         if (const io_outcome outcome = onFrame(rest.substr(PrefixBytes, length));
             outcome != io_outcome::Ok)
             return outcome;
         consumed += PrefixBytes + length;
     }
     m_received.erase(0, consumed);
+    // The buffer grows to the size of the frame at once, instead of being copied for each doubling,
+    // and a large buffer is freed after its frame.
+    if (wanted > m_received.capacity())
+        m_received.reserve(wanted);
+    else if (wanted == 0 && m_received.capacity() > MaxIdleBufferBytes)
+        m_received.shrink_to_fit();
     return io_outcome::Ok;
 }
 
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -1,6 +1,7 @@
 /// @file One TCP connection that carries frames with a length prefix, with limits and deadlines.
 #pragma once
 
+#include "hyssoppond/base/client_budget_base.h"
 #include "socket.h"
 
 #include <absl/time/time.h>
@@ -8,6 +9,7 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -35,6 +37,8 @@
     std::deque<std::string> takeUnsent();
     /// Received bytes of the incomplete frame.
     std::size_t partialFrameBytes() const { return m_received.size(); }
+    /// Frees the bytes of the incomplete frame. The connection must be closed then.
+    void dropPartialFrame() { m_received = std::string(); }
     /// Writes as much as the socket accepts without blocking.
     io_outcome write();
     /// Reads the bytes that have arrived and calls `onFrame` for each complete frame.
@@ -47,6 +51,11 @@
     absl::Time probeAnswerDeadline = absl::InfiniteFuture(); ///< for the answer to the probe
     absl::Time idleDeadline = absl::InfiniteFuture();  ///< a connection without data is closed then
     absl::Time frameDeadline = absl::InfiniteFuture(); ///< to complete the frame being received
+    /// To send the first valid frame; InfiniteFuture once it was received.
+    absl::Time firstFrameDeadline = absl::InfiniteFuture();
+    bool isClosing = false;                ///< an incoming connection that will be removed
+    std::string peerHost;                  ///< numeric address of an incoming connection
+    std::unique_ptr<client_charge> charge; ///< bytes of the incomplete frame, if incoming
 
 private:
     io_outcome extractFrames(const std::function<io_outcome(std::string_view)> &onFrame);
--- a/src/transport/io_loop.cpp
+++ b/src/transport/io_loop.cpp
@@ -15,9 +15,6 @@
 // Bytes of frames taken from the queue of a peer at once. The other frames stay in the outbox,
 // where the oldest can be dropped.
 constexpr std::size_t WriteChunkBytes = 65536;
-// Maximum number of operations on one socket in one iteration of the loop, which bounds the delay
-// of the others.
-constexpr int MaxOperationsPerIteration = 64;
 // Upper bound of one wait. It limits the delay that a missed event causes.
 constexpr absl::Duration MaxWait = absl::Seconds(1);
 
@@ -158,16 +155,6 @@
     return true;
 }
 
-bool transport::state::checkIncoming(const connection &conn)
-{
-    if (conn.idleDeadline > now && conn.frameDeadline > now)
-        return true;
-    if (conn.frameDeadline <= now)
-        countDropped(reason::ConnectionSilent);
-    partialFrameBytes -= conn.partialFrameBytes();
-    return false;
-}
-
 absl::Time transport::state::checkDeadlines()
 {
     absl::Time due = now + MaxWait;
@@ -178,9 +165,11 @@
         due = std::min({due, conn->connectDeadline, conn->probeAnswerDeadline, conn->nextProbeAt,
                         conn->idleDeadline});
     }
-    std::erase_if(incoming, [this](const auto &conn) { return !checkIncoming(*conn); });
     for (const auto &conn : incoming)
-        due = std::min({due, conn->idleDeadline, conn->frameDeadline});
+        checkIncoming(*conn);
+    std::erase_if(incoming, [](const auto &conn) { return conn->isClosing; });
+    for (const auto &conn : incoming)
+        due = std::min({due, conn->idleDeadline, conn->frameDeadline, conn->firstFrameDeadline});
     std::erase_if(retryAt, [this](const auto &retry) { return retry.second <= now; });
     const absl::MutexLock lock(&mutex);
     return std::min(due, stopAt);
@@ -211,14 +200,9 @@
         = read(wakeup.get(), &wakeupCount, sizeof(wakeupCount));
     for (std::size_t i = firstOutgoing; i < pollDescriptors.size(); ++i)
         serveOutgoing(peers[i - firstOutgoing], pollDescriptors[i].revents);
-    std::vector<std::unique_ptr<connection>> stillOpen;
-    for (std::size_t i = 0; i < incoming.size(); ++i) {
-        bool closed = false;
-        serveIncoming(*incoming[i], pollDescriptors[i + 3].revents, closed);
-        if (!closed)
-            stillOpen.push_back(std::move(incoming[i]));
-    }
-    incoming = std::move(stillOpen);
+    for (std::size_t i = 0; i < incoming.size(); ++i)
+        serveIncoming(*incoming[i], pollDescriptors[i + 3].revents);
+    std::erase_if(incoming, [](const auto &conn) { return conn->isClosing; });
     if (pollDescriptors[1].revents != 0)
         acceptConnections();
     if (pollDescriptors[2].revents != 0)
@@ -260,51 +244,6 @@
     }
 }
 
-void transport::state::serveIncoming(connection &conn, short events, bool &closed)
-{
-    if (events == 0)
-        return;
-    const std::size_t before = conn.partialFrameBytes();
-    const auto onFrame = [this, &conn](std::string_view bytes) {
-        conn.frameDeadline = absl::InfiniteFuture();
-        return receive(bytes, settings.maxFrameBytes, &conn);
-    };
-    const io_outcome outcome = conn.read(onFrame);
-    partialFrameBytes = partialFrameBytes - before + conn.partialFrameBytes();
-    conn.idleDeadline = now + 2 * settings.idleTimeout;
-    if (conn.partialFrameBytes() == 0)
-        conn.frameDeadline = absl::InfiniteFuture();
-    else if (conn.frameDeadline == absl::InfiniteFuture())
-        conn.frameDeadline = now + settings.partialFrameTimeout;
-    if (partialFrameBytes > settings.maxPartialFrameBytes)
-        countDropped(reason::Overloaded);
-    if (outcome == io_outcome::Malformed)
-        hooks.counters->add("transport_malformed_connections_closed");
-    closed = outcome != io_outcome::Ok || partialFrameBytes > settings.maxPartialFrameBytes
-        || conn.write() == io_outcome::Closed;
-    if (closed)
-        partialFrameBytes -= conn.partialFrameBytes();
-}
-
-void transport::state::acceptConnections()
-{
-    for (int i = 0; i < MaxOperationsPerIteration; ++i) {
-        file_descriptor socket(
-            accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-        if (!socket.isOpen())
-            return;
-        if (incoming.size() >= settings.maxConnections) {
-            hooks.counters->count(disposition::Refused, reason::Overloaded);
-            continue;
-        }
-        setConnectionOptions(socket.get(), settings.probeInterval + settings.probeTimeout);
-        auto conn = std::make_unique<connection>(std::move(socket), settings.maxFrameBytes);
-        conn->connected = true;
-        conn->idleDeadline = now + 2 * settings.idleTimeout;
-        incoming.push_back(std::move(conn));
-    }
-}
-
 void transport::state::readDatagrams()
 {
     // The buffer holds one byte more than the limit, so that a datagram that is too long is
--- a/src/transport/receiving.cpp
+++ b/src/transport/receiving.cpp
@@ -36,7 +36,10 @@
     const auto &hook = hooks.onFrame[static_cast<std::size_t>(message.protocol)];
     if (!hook)
         return countDropped(reason::UnknownEndpoint);
-    if (!pool->post([&hook, received = std::move(message)] { hook(received); }))
+    // Charged until the hook has run, as frames may arrive faster than their hooks run.
+    auto charge = std::make_shared<client_charge>(settings.budget, client_listener::Peers, "");
+    if (!charge->growTo(message.payload.size())
+        || !pool->post([&hook, charge, received = std::move(message)] { hook(received); }))
         countDropped(reason::Overloaded);
 }
 
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -57,6 +57,18 @@
     return socketFd;
 }
 
+std::string hostOf(const sockaddr_storage &peer)
+{
+    char text[INET6_ADDRSTRLEN] = "";
+    if (peer.ss_family == AF_INET)
+        inet_ntop(AF_INET, &reinterpret_cast<const sockaddr_in &>(peer).sin_addr, text,
+                  sizeof text);
+    else if (peer.ss_family == AF_INET6)
+        inet_ntop(AF_INET6, &reinterpret_cast<const sockaddr_in6 &>(peer).sin6_addr, text,
+                  sizeof text);
+    return text;
+}
+
 std::uint16_t boundPort(const file_descriptor &socket)
 {
     socket_address bound;
--- a/src/transport/socket.h
+++ b/src/transport/socket.h
@@ -7,6 +7,7 @@
 #include <absl/time/time.h>
 
 #include <optional>
+#include <string>
 #include <utility>
 
 #include <sys/socket.h>
@@ -51,6 +52,8 @@
 /// Opens a non-blocking socket of `type` bound to `bindAddress`; a TCP socket also listens.
 /// Error: InvalidArgument.
 result<file_descriptor> openBound(const address &bindAddress, int type);
+/// Numeric host of a peer's address; empty if it is of another family.
+std::string hostOf(const sockaddr_storage &peer);
 /// Port to which the socket is bound; 0 if the system does not report it.
 std::uint16_t boundPort(const file_descriptor &socket);
 /// Starts a TCP connection without waiting. The returned descriptor is not open if it cannot be
--- a/src/transport/transport_state.h
+++ b/src/transport/transport_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "connection.h"
+#include "hyssoppond/base/refusal_log_base.h"
 #include "hyssoppond/base/thread_pool_base.h"
 #include "hyssoppond/transport/transport_base.h"
 #include "outbox.h"
@@ -21,6 +22,10 @@
 
 namespace hyssoppond {
 
+/// Maximum number of operations on one socket in one iteration of the loop, which bounds the delay
+/// of the others.
+inline constexpr int MaxOperationsPerIteration = 64;
+
 struct transport::state
 {
     state(transport_settings initialSettings, transport_hooks initialHooks);
@@ -44,7 +49,8 @@
     std::vector<std::unique_ptr<connection>> incoming;
     std::map<address, absl::Time> retryAt; ///< when peers whose connection failed are tried again
     std::size_t partialFrameBytes = 0; ///< bytes of incomplete frames of all incoming connections
-    absl::Time now;                    ///< time of this iteration of the loop
+    refusal_log refusals;
+    absl::Time now; ///< time of this iteration of the loop
 
     // transport.cpp: called by any thread.
     result<void> open();
@@ -62,15 +68,25 @@
     void openConnection(const address &to);
     absl::Time checkDeadlines();
     bool checkOutgoing(const address &to, connection &conn);
-    bool checkIncoming(const connection &conn);
     void waitForEvents(absl::Time until);
     void serveOutgoing(const address &to, short events);
-    void serveIncoming(connection &conn, short events, bool &closed);
-    void acceptConnections();
     void readDatagrams();
     void closeOutgoing(const address &to, reason cause);
     void addProbe(connection &conn, frame_kind kind);
 
+    // incoming.cpp: called by the I/O thread.
+    void checkIncoming(connection &conn);
+    void serveIncoming(connection &conn, short events);
+    void acceptConnections();
+    /// Makes room for a connection from `host`; false if it must be refused.
+    bool makeRoomFor(const std::string &host);
+    /// Charges the incomplete frame of `conn`. If bytes are short, closes connections that are
+    /// worse off; false if there are none.
+    bool chargePartialFrame(connection &conn);
+    void closeIncoming(connection &conn);
+    /// Closes an incoming connection in favour of others, and logs it.
+    void evictIncoming(connection &conn, const char *cause);
+
     // receiving.cpp: called by the I/O thread.
     io_outcome receive(std::string_view bytes, std::size_t limit, connection *from);
     void deliver(frame message);
