--- a/src/rpc/rpc_connections.cpp
+++ b/src/rpc/rpc_connections.cpp
@@ -14,8 +14,8 @@
 /// Bytes of a body that count as progress. A client that sends single bytes is as slow as one that
 /// sends nothing.
 constexpr std::size_t ProgressBytes = 16 * 1024;
-/// Step in which bodies are charged.
-constexpr std::size_t ChargeStepBytes = 64 * 1024;
+/// First size of the buffer of a longer body.
+constexpr std::size_t FirstBufferBytes = 64 * 1024;
 
 } // namespace
 
@@ -90,14 +90,16 @@
         return false;
     record &own = it->second;
     const std::size_t size = own.body.size() + part.size();
-    // A string that grows by doubling is charged by its capacity. A string reserved for a known
-    // length takes memory only as it is filled.
-    std::size_t charged = (size / ChargeStepBytes + 1) * ChargeStepBytes;
-    if (length)
-        charged = std::min(charged, std::max(*length, size));
-    else if (size > own.body.capacity())
-        charged = std::max(charged, 2 * own.body.capacity());
-    while (!own.charge.growTo(charged)) {
+    // The whole buffer is charged, so that the bound does not depend on how much of it the system
+    // makes resident. It grows by doubling, so that the announced length alone takes nothing.
+    std::size_t capacity = own.charge.bytes();
+    if (size > capacity) {
+        capacity = std::max(2 * capacity, FirstBufferBytes);
+        if (length)
+            capacity = std::min(capacity, *length);
+        capacity = std::max(capacity, size);
+    }
+    while (!own.charge.growTo(capacity)) {
         const auto worst = findWorst(true);
         if (worst == m_records.end() || worst == it) {
             own.body = std::string();
@@ -108,7 +110,7 @@
         close(&worst->second, "bytes");
     }
     if (size > own.body.capacity())
-        own.body.reserve(length ? std::max(*length, size) : charged);
+        own.body.reserve(capacity);
     own.body.append(part);
     if (size >= own.progressBytes + ProgressBytes) {
         own.progressBytes = size;
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -1,6 +1,7 @@
 /// @file One TCP connection.
 #include "connection.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -69,7 +70,7 @@
             return io_outcome::Closed;
         if (bytesRead < 0)
             return errno == EAGAIN || errno == EINTR ? io_outcome::Ok : io_outcome::Closed;
-        m_received.append(buffer.data(), static_cast<std::size_t>(bytesRead));
+        append({buffer.data(), static_cast<std::size_t>(bytesRead)});
         if (const io_outcome outcome = extractFrames(onFrame); outcome != io_outcome::Ok)
             return outcome;
         if (static_cast<std::size_t>(bytesRead) < buffer.size())
@@ -78,17 +79,25 @@
     return io_outcome::Ok;
 }
 
+void connection::append(std::string_view bytes)
+{
+    const std::size_t size = m_received.size() + bytes.size();
+    if (size > m_received.capacity())
+        m_received.reserve(std::max(size, std::min(2 * m_received.capacity(), m_wanted)));
+    m_received.append(bytes);
+}
+
 io_outcome connection::extractFrames(const std::function<io_outcome(std::string_view)> &onFrame)
 {
     std::size_t consumed = 0;
-    std::size_t wanted = 0; // size of the incomplete frame with its prefix
+    m_wanted = 0;
     while (m_received.size() - consumed >= PrefixBytes) {
         const std::string_view rest = std::string_view(m_received).substr(consumed);
         const std::size_t length = decodeLength(rest);
         if (length > m_maxFrameBytes)
             return io_outcome::Malformed;
         if (rest.size() < PrefixBytes + length) {
-            wanted = PrefixBytes + length;
+            m_wanted = PrefixBytes + length;
             break;
         }
         if (const io_outcome outcome = onFrame(rest.substr(PrefixBytes, length));
@@ -97,12 +106,8 @@
         consumed += PrefixBytes + length;
     }
     m_received.erase(0, consumed);
-    // The buffer grows to the size of the frame at once, instead of being copied for each doubling,
-    // and a large buffer is freed after its frame.
-    if (wanted > m_received.capacity())
-        m_received.reserve(wanted);
-    else if (wanted == 0 && m_received.capacity() > MaxIdleBufferBytes)
-        m_received.shrink_to_fit();
+    if (m_received.empty() && m_received.capacity() > MaxIdleBufferBytes)
+        m_received = std::string();
     return io_outcome::Ok;
 }
 
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -35,8 +35,8 @@
     std::size_t unsentFrames() const { return m_unsent.size(); }
     /// Removes and returns the frames not completely written, without their length prefix.
     std::deque<std::string> takeUnsent();
-    /// Received bytes of the incomplete frame.
-    std::size_t partialFrameBytes() const { return m_received.size(); }
+    /// Size of the buffer that holds the incomplete frame; 0 if there is none.
+    std::size_t partialFrameBytes() const { return m_received.empty() ? 0 : m_received.capacity(); }
     /// Frees the bytes of the incomplete frame. The connection must be closed then.
     void dropPartialFrame() { m_received = std::string(); }
     /// Writes as much as the socket accepts without blocking.
@@ -58,6 +58,8 @@
     std::unique_ptr<client_charge> charge; ///< bytes of the incomplete frame, if incoming
 
 private:
+    /// Appends received bytes; the buffer grows by doubling up to the size of the incomplete frame.
+    void append(std::string_view bytes);
     io_outcome extractFrames(const std::function<io_outcome(std::string_view)> &onFrame);
 
     file_descriptor m_socket;
@@ -65,6 +67,7 @@
     std::deque<std::string> m_unsent; ///< frames with length prefix
     std::size_t m_written = 0;        ///< bytes of the first unsent frame already written
     std::string m_received;
+    std::size_t m_wanted = 0; ///< size of the incomplete frame with its prefix, 0 if not known
 };
 
 } // namespace hyssoppond
--- a/src/transport/incoming.cpp
+++ b/src/transport/incoming.cpp
@@ -1,7 +1,6 @@
 /// @file Incoming connections: their limits, and which of them is closed when there are too many.
 #include "transport_state.h"
 
-#include <algorithm>
 #include <string_view>
 #include <tuple>
 #include <utility>
@@ -43,26 +42,46 @@
     closeIncoming(conn);
 }
 
+connection *transport::state::findWorstPartial(const connection *except) const
+{
+    std::map<std::string_view, std::size_t> heldBy;
+    for (const auto &conn : incoming)
+        heldBy[conn->peerHost] += conn->partialFrameBytes();
+    // Strangers before peers, then the address that holds most, then the frame begun first.
+    const auto rank = [&heldBy](const connection &conn) {
+        return std::make_tuple(isStranger(conn), heldBy[conn.peerHost],
+                               absl::InfiniteFuture() - conn.frameDeadline);
+    };
+    connection *worst = nullptr;
+    for (const auto &conn : incoming) {
+        if (conn.get() != except && conn->partialFrameBytes() > 0
+            && (worst == nullptr || rank(*conn) > rank(*worst)))
+            worst = conn.get();
+    }
+    return worst;
+}
+
 bool transport::state::chargePartialFrame(connection &conn)
 {
     conn.charge->shrinkTo(conn.partialFrameBytes());
     while (partialFrameBytes > settings.maxPartialFrameBytes
            || !conn.charge->growTo(conn.partialFrameBytes())) {
-        std::map<std::string_view, std::size_t> heldBy;
-        for (const auto &each : incoming)
-            heldBy[each->peerHost] += each->partialFrameBytes();
-        // Strangers before peers, then the address that holds most, then the frame begun first.
-        const auto rank = [&heldBy](const connection &each) {
-            return std::make_tuple(each.partialFrameBytes() > 0, isStranger(each),
-                                   heldBy[each.peerHost],
-                                   absl::InfiniteFuture() - each.frameDeadline);
-        };
-        const auto worst = std::max_element(
-            incoming.begin(), incoming.end(),
-            [&rank](const auto &left, const auto &right) { return rank(*left) < rank(*right); });
-        if (worst == incoming.end() || worst->get() == &conn || (*worst)->partialFrameBytes() == 0)
+        connection *const worst = findWorstPartial(nullptr);
+        if (worst == nullptr || worst == &conn)
+            return false;
+        evictIncoming(*worst, "bytes");
+    }
+    return true;
+}
+
+bool transport::state::chargeReceived(client_charge *charge, std::size_t bytes,
+                                      const connection *from)
+{
+    while (!charge->growTo(bytes)) {
+        connection *const worst = findWorstPartial(from);
+        if (worst == nullptr || !isStranger(*worst))
             return false;
-        evictIncoming(**worst, "bytes");
+        evictIncoming(*worst, "bytes");
     }
     return true;
 }
--- a/src/transport/receiving.cpp
+++ b/src/transport/receiving.cpp
@@ -13,7 +13,7 @@
     }
     switch (decoded->kind) {
     case frame_kind::Data:
-        deliver(std::move(*decoded));
+        deliver(std::move(*decoded), from);
         break;
     case frame_kind::Probe:
         // An answer is added only if nothing is unsent. Otherwise, answers to a peer that does not
@@ -27,7 +27,7 @@
     return io_outcome::Ok;
 }
 
-void transport::state::deliver(frame message)
+void transport::state::deliver(frame message, const connection *from)
 {
     if (!message.addressee.isEmpty() && message.addressee != settings.self)
         return countDropped(reason::UnknownEndpoint);
@@ -38,7 +38,7 @@
         return countDropped(reason::UnknownEndpoint);
     // Charged until the hook has run, as frames may arrive faster than their hooks run.
     auto charge = std::make_shared<client_charge>(settings.budget, client_listener::Peers, "");
-    if (!charge->growTo(message.payload.size())
+    if (!chargeReceived(charge.get(), message.payload.size(), from)
         || !pool->post([&hook, charge, received = std::move(message)] { hook(received); }))
         countDropped(reason::Overloaded);
 }
--- a/src/transport/transport_state.h
+++ b/src/transport/transport_state.h
@@ -80,6 +80,12 @@
     void acceptConnections();
     /// Makes room for a connection from `host`; false if it must be refused.
     bool makeRoomFor(const std::string &host);
+    /// The connection whose incomplete frame is to be given up first, other than `except`; null if
+    /// there is none.
+    connection *findWorstPartial(const connection *except) const;
+    /// Charges a received frame. If bytes are short, closes connections that have not sent a valid
+    /// frame; false if there are none with an incomplete frame but `from`.
+    bool chargeReceived(client_charge *charge, std::size_t bytes, const connection *from);
     /// Charges the incomplete frame of `conn`. If bytes are short, closes connections that are
     /// worse off; false if there are none.
     bool chargePartialFrame(connection &conn);
@@ -89,7 +95,7 @@
 
     // receiving.cpp: called by the I/O thread.
     io_outcome receive(std::string_view bytes, std::size_t limit, connection *from);
-    void deliver(frame message);
+    void deliver(frame message, const connection *from);
 };
 
 } // namespace hyssoppond
--- a/tests/client_crowd_test.cpp
+++ b/tests/client_crowd_test.cpp
@@ -314,5 +314,25 @@
     expectServing();
 }
 
+// Guards against limits that callers within the limits meet: 200 at once, each with the largest
+// command of a job.
+TEST_F(client_crowd_test, ordinaryCallersAreNotClosed)
+{
+    startEntry();
+    crowd_plan plan;
+    plan.connections = 200;
+    plan.unit = R"({"team":"none","request_id":"a","command":")" + std::string(65'536, 'c') + "\"}";
+    plan.units = 1;
+    plan.head = headOf(SubmitPath, absl::StrCat("Content-Length: ", plan.unit.size()));
+    client_crowd callers(http(), plan);
+    callers.send();
+    expectServing();
+    const std::string counters = run(
+        absl::StrCat(HYSSOPPOND_PROGRAMS, "/hyssopctl --entry 127.0.0.1:", http(), " counters"));
+    EXPECT_NE(counters.find("UnknownTeam"), std::string::npos) << counters;
+    EXPECT_EQ(counters.find("Overloaded"), std::string::npos) << counters;
+    EXPECT_EQ(counters.find("closed_early"), std::string::npos) << counters;
+}
+
 } // namespace
 } // namespace hyssoppond
--- a/tests/rpc_test.cpp
+++ b/tests/rpc_test.cpp
@@ -1,4 +1,5 @@
 /// @file Tests of the remote procedure calls over loopback.
+#include "hyssoppond/base/client_budget_base.h"
 #include "hyssoppond/rpc/rpc_client_base.h"
 #include "hyssoppond/rpc/rpc_server_base.h"
 
@@ -246,5 +247,128 @@
     stopper.join();
 }
 
+// Guards against bodies whose parsed form takes many times their size, and against a bound that
+// refuses large values with few fields.
+TEST(rpc_codec_test, boundsFieldsAndDepth)
+{
+    const auto repeated = [](const std::string &text, int count) {
+        std::string all;
+        for (int i = 0; i < count; ++i)
+            all += text;
+        return all;
+    };
+    const auto check = [](const std::string &body, body_encoding encoding) {
+        v1::SubmitRequest request;
+        const auto decoded = decodeBody(body, encoding, &request);
+        return decoded ? std::string() : decoded.error().message;
+    };
+    const auto bounded = testing::HasSubstr("more than 10000 fields");
+    EXPECT_EQ(
+        check("{" + repeated(R"("hold":true,)", 9'000) + R"("team":"a"})", body_encoding::Json),
+        "");
+    EXPECT_EQ(
+        check(R"({"command":")" + repeated(R"(\":,{[)", 60'000) + R"("})", body_encoding::Json),
+        "");
+    EXPECT_THAT(
+        check("{" + repeated(R"("hold":true,)", 11'000) + R"("team":"a"})", body_encoding::Json),
+        bounded);
+    EXPECT_THAT(check(repeated(R"({"shape":)", 40), body_encoding::Json), bounded);
+    const std::string hold("\x40\x01", 2);
+    EXPECT_EQ(check(repeated(hold, 9'000), body_encoding::Binary), "");
+    EXPECT_THAT(check(repeated(hold, 11'000), body_encoding::Binary), bounded);
+    // The field `shape` with 11,000 fields of its own.
+    EXPECT_THAT(check("\x2a\xf0\xab\x01" + repeated(std::string("\x08\x01", 2), 11'000),
+                      body_encoding::Binary),
+                bounded);
+}
+
+/// A server with a budget of 256 KiB for bodies of up to 1,000,000 bytes.
+class rpc_budget_test : public testing::Test
+{
+protected:
+    rpc_budget_test()
+        : m_budget(limits())
+        , m_server({.listen = {"127.0.0.1", 0}, .maxBodyBytes = 1'000'000, .budget = &m_budget},
+                   &m_counters)
+    {
+        m_server.add(makeMethod<v1::SubmitRequest, v1::SubmitResponse>(
+            "/hyssoppond.v1.Jobs/Submit",
+            [](const auto &, auto reply) { reply(v1::SubmitResponse()); }));
+        EXPECT_TRUE(m_server.start().has_value());
+    }
+    static budget_limits limits()
+    {
+        budget_limits values;
+        values.totalBytes = 256 * 1024;
+        values.of(client_listener::Rpc) = {0, 256 * 1024, 256 * 1024};
+        return values;
+    }
+    /// Sends a head that announces `announced` bytes, and `sent` bytes of the body.
+    int sendPart(const std::string &path, std::size_t announced, std::size_t sent) const
+    {
+        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in target {};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(m_server.port());
+        target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(connect(fd, reinterpret_cast<const sockaddr *>(&target), sizeof target), 0);
+        const std::string text = "POST " + path + " HTTP/1.1\r\nHost: entry\r\nContent-Length: "
+            + std::to_string(announced) + "\r\n\r\n" + std::string(sent, ' ');
+        EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL), text.size());
+        return fd;
+    }
+    /// Waits until the clients hold `bytes`.
+    void awaitUsed(std::size_t bytes) const
+    {
+        const absl::Time end = secondsFromNow(30);
+        while (m_budget.used() != bytes && absl::Now() < end)
+            absl::SleepFor(absl::Milliseconds(5));
+        EXPECT_EQ(m_budget.used(), bytes);
+    }
+
+    counter_registry m_counters;
+    client_budget m_budget;
+    rpc_server m_server;
+};
+
+// Guards against a refusal that does not say that the request has not run, and against bytes that
+// stay charged.
+TEST_F(rpc_budget_test, refusesABodyBeyondTheBudgetAsNotRun)
+{
+    const auto [status, body] = post(m_server.port(), "/hyssoppond.v1.Jobs/Submit",
+                                     "application/json", std::string(600'000, ' '));
+    EXPECT_EQ(status, 503);
+    EXPECT_THAT(body, testing::HasSubstr("Overloaded"));
+    EXPECT_THAT(body, testing::HasSubstr("NOT_RUN"));
+    EXPECT_EQ(m_counters.value(disposition::Refused, reason::Overloaded), 1);
+    awaitUsed(0);
+    const auto later = post(m_server.port(), "/hyssoppond.v1.Jobs/Submit", "application/json",
+                            "{" + std::string(200'000, ' ') + "}");
+    EXPECT_EQ(later.first, 200);
+}
+
+// Guards against clients that stop halfway and keep others from being served, and against stored
+// bodies of requests that will be refused.
+TEST_F(rpc_budget_test, closesTheConnectionWithoutProgress)
+{
+    std::vector<int> held;
+    for (int i = 0; i < 3; ++i) {
+        held.push_back(sendPart("/hyssoppond.v1.Jobs/Submit", 65'000, 64'999));
+        awaitUsed(65'000 * held.size());
+    }
+    held.push_back(sendPart("/none", 65'000, 64'999));
+    held.push_back(sendPart("/hyssoppond.v1.Jobs/Submit", 1'000'001, 64'999));
+    const auto [status, body] = post(m_server.port(), "/hyssoppond.v1.Jobs/Submit",
+                                     "application/json", "{" + std::string(100'000, ' ') + "}");
+    EXPECT_EQ(status, 200) << body;
+    char byte = 0;
+    EXPECT_EQ(recv(held[0], &byte, 1, 0), 0); // the oldest one was closed
+    EXPECT_EQ(m_counters.value("rpc_connections_closed_early"), 1);
+    awaitUsed(2 * 65'000);
+    for (const int fd : held)
+        close(fd);
+    awaitUsed(0);
+}
+
 } // namespace
 } // namespace hyssoppond
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -1,5 +1,6 @@
 /// @file Tests of the transport on loopback sockets. Waits end when the expected event occurs;
 /// their timeout only turns a hang into a failure.
+#include "hyssoppond/base/client_budget_base.h"
 #include "hyssoppond/fakes/virtual_clock_base.h"
 #include "hyssoppond/transport/transport_base.h"
 #include "outbox.h"
@@ -198,5 +199,69 @@
     EXPECT_EQ(source.counters.value(disposition::Dropped, reason::Leaving), 1);
 }
 
+/// A connection that is not one of a transport.
+file_descriptor connectRaw(const test_peer &to)
+{
+    const auto target = toSocketAddress(to.link->localAddress());
+    file_descriptor raw(socket(AF_INET, SOCK_STREAM, 0));
+    EXPECT_EQ(connect(raw.get(), target->get(), target->length), 0);
+    return raw;
+}
+
+// Guards against connections without a frame that keep peers out, in total or from one address.
+TEST(transport_test, connectionsWithoutAFrameGiveWayToPeers)
+{
+    for (const bool perAddress : {false, true}) {
+        transport_settings settings;
+        (perAddress ? settings.maxConnectionsPerAddress : settings.maxConnections) = 4;
+        test_peer destination("a", "127.0.0.1", settings);
+        std::vector<file_descriptor> strangers;
+        for (int i = 0; i < 10; ++i)
+            strangers.push_back(connectRaw(destination));
+        test_peer source("b");
+        source.link->send(destination.link->localAddress(), frameFor(channel::Gang, "x"));
+        destination.waitFor(1);
+        EXPECT_EQ(destination.counters.value("transport_connections_evicted"), 7);
+        EXPECT_EQ(destination.counters.value(disposition::Refused, reason::Overloaded), 0);
+    }
+}
+
+// Guards against a connection that stays open without ever sending a frame.
+TEST(transport_test, closesConnectionsWithoutAFrame)
+{
+    transport_settings settings;
+    settings.firstFrameTimeout = absl::Milliseconds(50);
+    test_peer destination("a", "127.0.0.1", settings);
+    const file_descriptor raw = connectRaw(destination);
+    ASSERT_TRUE(waitReadable(raw.get()));
+    char byte = 0;
+    EXPECT_EQ(recv(raw.get(), &byte, 1, 0), 0);
+}
+
+// Guards against incomplete frames that take the memory needed for those of peers.
+TEST(transport_test, incompleteFramesGiveWayToPeers)
+{
+    budget_limits limits;
+    limits.totalBytes = 1'000'000;
+    limits.of(client_listener::Peers) = {0, 1'000'000, 1'000'000};
+    client_budget budget(limits);
+    transport_settings settings;
+    settings.budget = &budget;
+    test_peer destination("a", "127.0.0.1", settings);
+    std::vector<file_descriptor> strangers;
+    std::string frameStart("\x00\x08\x00\x00", 4); // 512 KiB
+    frameStart.append(400'000, 'x');
+    for (int i = 0; i < 8; ++i) {
+        strangers.push_back(connectRaw(destination));
+        (void)send(strangers.back().get(), frameStart.data(), frameStart.size(), MSG_NOSIGNAL);
+    }
+    test_peer source("b");
+    source.link->send(destination.link->localAddress(),
+                      frameFor(channel::Gang, std::string(450'000, 'p')));
+    destination.waitFor(1);
+    EXPECT_GE(destination.counters.value("transport_connections_evicted"), 6);
+    EXPECT_LE(budget.used(), limits.totalBytes);
+}
+
 } // namespace
 } // namespace hyssoppond
