Native crowd test renamed; Retry-After on refusals for the budget

client_crowd_test.sh is the name of the test of the HTTP servers, so the test of the native interfaces is native_crowd_test. Crowds and bounds are unchanged.

A refusal because the budget is short carried the time to wait in its body only; it now also has the header Retry-After.

ctest of native_crowd_test (10.3 s), rpc_test, transport_test, base_test and entry_test passes. With the address and undefined sanitizers native_crowd_test (13.1 s, peak 412 MB of 596 allowed), rpc_test and transport_test pass once.

--- a/src/rpc/rpc_server.cpp
+++ b/src/rpc/rpc_server.cpp
@@ -8,6 +8,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <absl/synchronization/mutex.h>
 #include <arpa/inet.h>
@@ -135,7 +136,9 @@
     /// connection was lost.
     void finish(const std::shared_ptr<exchange> &current, http_page page);
     result<const rpc_method *> findMethod(const std::string &url) const;
-    static MHD_Result respond(MHD_Connection *connection, const http_page &page);
+    /// Sends a page, with the header Retry-After if `retryAfter` is not 0.
+    static MHD_Result respond(MHD_Connection *connection, const http_page &page,
+                              absl::Duration retryAfter = absl::ZeroDuration());
     /// Counts a refusal and returns its page.
     http_page refusalPage(const error &problem, body_encoding encoding) const;
 };
@@ -147,13 +150,18 @@
     return errorPage(problem, encoding);
 }
 
-MHD_Result rpc_server::implementation::respond(MHD_Connection *connection, const http_page &page)
+MHD_Result rpc_server::implementation::respond(MHD_Connection *connection, const http_page &page,
+                                               absl::Duration retryAfter)
 {
     MHD_Response *response = MHD_create_response_from_buffer(
         page.body.size(), const_cast<char *>(page.body.data()), MHD_RESPMEM_MUST_COPY);
     if (response == nullptr)
         return MHD_NO;
     MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, page.contentType.c_str());
+    if (retryAfter > absl::ZeroDuration()) {
+        const std::string seconds = absl::StrCat(absl::ToInt64Seconds(retryAfter));
+        MHD_add_response_header(response, MHD_HTTP_HEADER_RETRY_AFTER, seconds.c_str());
+    }
     const MHD_Result queued
         = MHD_queue_response(connection, static_cast<unsigned>(page.status), response);
     MHD_destroy_response(response);
@@ -309,9 +317,10 @@
     }
     if (current->refusal) {
         http_page page = refusalPage(*current->refusal, encodingOf(connection));
-        if (current->refusal->why == reason::Overloaded)
-            page.status = MHD_HTTP_SERVICE_UNAVAILABLE;
-        return respond(connection, page);
+        if (current->refusal->why != reason::Overloaded)
+            return respond(connection, page);
+        page.status = MHD_HTTP_SERVICE_UNAVAILABLE;
+        return respond(connection, page, BudgetRetryTime);
     }
     return dispatch(connection, current);
 }
--- a/tests/client_crowd_test.cpp
+++ b/tests/native_crowd_test.cpp
@@ -1,7 +1,7 @@
 /// @file Crowds of clients outside the limits against one native entry process: the procedures'
 /// port and the port for frames. Checked are only life, peak memory, descriptors and one ordinary
 /// request while the crowd is still connected.
-#include "client_crowd_base.h"
+#include "native_crowd_base.h"
 
 #include "hyssoppond/transport/frame_type.h"
 
@@ -59,10 +59,10 @@
     return bytes + encoded;
 }
 
-class client_crowd_test : public testing::Test
+class native_crowd_test : public testing::Test
 {
 protected:
-    client_crowd_test()
+    native_crowd_test()
         : m_base(static_cast<std::uint16_t>(18400 + 3 * s_sites++))
     {
         signal(SIGPIPE, SIG_IGN);
@@ -71,7 +71,7 @@
         limit.rlim_cur = limit.rlim_max;
         setrlimit(RLIMIT_NOFILE, &limit);
     }
-    ~client_crowd_test() override
+    ~native_crowd_test() override
     {
         m_entry.reset();
         if (HasFailure())
@@ -167,25 +167,25 @@
 
     static inline int s_sites = 0;
     std::uint16_t m_base;
-    std::string m_output = absl::StrCat(testing::TempDir(), "client-crowd-", getpid(), ".log");
+    std::string m_output = absl::StrCat(testing::TempDir(), "native-crowd-", getpid(), ".log");
     std::unique_ptr<child_process> m_log;
     std::unique_ptr<child_process> m_entry;
 };
 
 // Guards against memory without a bound for bodies that never end.
-TEST_F(client_crowd_test, bodiesHeldBackInOnePiece)
+TEST_F(native_crowd_test, bodiesHeldBackInOnePiece)
 {
     attack(http(), bodiesHeldBack(SubmitPath, MaxBodyBytes));
 }
 
 // Guards against a bound that counts writes or requests instead of bytes.
-TEST_F(client_crowd_test, bodiesHeldBackInSmallPieces)
+TEST_F(native_crowd_test, bodiesHeldBackInSmallPieces)
 {
     attack(http(), bodiesHeldBack(SubmitPath, 4096));
 }
 
 // Guards against bodies that are held although no procedure has their path.
-TEST_F(client_crowd_test, bodiesHeldBackAtUnknownPathsAndAtHealthz)
+TEST_F(native_crowd_test, bodiesHeldBackAtUnknownPathsAndAtHealthz)
 {
     startEntry();
     client_crowd unknown(http(), bodiesHeldBack("/none", MaxBodyBytes));
@@ -196,7 +196,7 @@
 }
 
 // Guards against a bound that needs the length of the body in advance.
-TEST_F(client_crowd_test, chunkedBodiesHeldBack)
+TEST_F(native_crowd_test, chunkedBodiesHeldBack)
 {
     crowd_plan plan;
     plan.connections = 100;
@@ -207,7 +207,7 @@
 }
 
 // Guards against bodies far over the limit that are held or end the process.
-TEST_F(client_crowd_test, bodiesFarOverTheLimit)
+TEST_F(native_crowd_test, bodiesFarOverTheLimit)
 {
     crowd_plan plan;
     plan.connections = 16;
@@ -218,7 +218,7 @@
 }
 
 // Guards against parsed forms that take many times the memory of the body.
-TEST_F(client_crowd_test, bodiesOfManyShortFields)
+TEST_F(native_crowd_test, bodiesOfManyShortFields)
 {
     startEntry();
     std::vector<std::unique_ptr<client_crowd>> crowds;
@@ -240,7 +240,7 @@
 }
 
 // Guards against answers that pile up for clients which do not read.
-TEST_F(client_crowd_test, pipelinedRequestsWithoutReading)
+TEST_F(native_crowd_test, pipelinedRequestsWithoutReading)
 {
     crowd_plan plan;
     plan.connections = 50;
@@ -250,7 +250,7 @@
 }
 
 // Guards against connections with half a head that take all descriptors or connections.
-TEST_F(client_crowd_test, headsStoppedHalfway)
+TEST_F(native_crowd_test, headsStoppedHalfway)
 {
     crowd_plan plan;
     plan.connections = 600;
@@ -261,7 +261,7 @@
 }
 
 // Guards against connections without any byte that take all descriptors or connections.
-TEST_F(client_crowd_test, silentHttpConnections)
+TEST_F(native_crowd_test, silentHttpConnections)
 {
     crowd_plan plan;
     plan.connections = 600;
@@ -269,7 +269,7 @@
 }
 
 // Guards against memory without a bound for frames that never end.
-TEST_F(client_crowd_test, framesHeldBack)
+TEST_F(native_crowd_test, framesHeldBack)
 {
     crowd_plan plan;
     plan.connections = 200;
@@ -281,7 +281,7 @@
 }
 
 // Guards against connections without any frame that take the place of peers.
-TEST_F(client_crowd_test, silentControlConnections)
+TEST_F(native_crowd_test, silentControlConnections)
 {
     crowd_plan plan;
     plan.connections = 600;
@@ -289,7 +289,7 @@
 }
 
 // Guards against garbage that ends the process or keeps it from its peers.
-TEST_F(client_crowd_test, garbageOnTheControlPort)
+TEST_F(native_crowd_test, garbageOnTheControlPort)
 {
     startEntry();
     std::mt19937 random(7);
@@ -316,7 +316,7 @@
 
 // Guards against limits that callers within the limits meet: 200 at once, each with the largest
 // command of a job.
-TEST_F(client_crowd_test, ordinaryCallersAreNotClosed)
+TEST_F(native_crowd_test, ordinaryCallersAreNotClosed)
 {
     startEntry();
     crowd_plan plan;
