Native limits: free the buffers; lint

Assigning an empty string to a string keeps its buffer with this library, so the buffers of closed connections, refused bodies and finished frames stayed until the connection ended, and were no longer charged. They are swapped away now.

--- a/src/rpc/rpc_codec.cpp
+++ b/src/rpc/rpc_codec.cpp
@@ -67,7 +67,7 @@
     // protobuf logs malformed input to standard error. The log is disabled because the caller gets
     // a typed error, which the server counts.
     [[maybe_unused]] static pb::LogHandler *const previousLogHandler = pb::SetLogHandler(nullptr);
-    if (const auto bounded = checkBodyBounds(body, encoding, message->GetDescriptor()); !bounded)
+    if (auto bounded = checkBodyBounds(body, encoding, message->GetDescriptor()); !bounded)
         return bounded;
     if (encoding == body_encoding::Json)
         return parseJson(body, false, message);
--- a/src/rpc/rpc_connections.cpp
+++ b/src/rpc/rpc_connections.cpp
@@ -56,7 +56,7 @@
 void rpc_connections::close(record *victim, const char *cause)
 {
     victim->isClosing = true;
-    victim->body = std::string();
+    std::string().swap(victim->body); // an assignment would keep the buffer
     victim->charge.shrinkTo(0);
     shutdown(victim->socket, SHUT_RDWR);
     m_counters->add("rpc_connections_closed_early");
@@ -102,7 +102,7 @@
     while (!own.charge.growTo(capacity)) {
         const auto worst = findWorst(true);
         if (worst == m_records.end() || worst == it) {
-            own.body = std::string();
+            std::string().swap(own.body);
             own.charge.shrinkTo(0);
             m_log.write("body refused", own.address, "bytes", processNow());
             return false;
@@ -136,7 +136,7 @@
     if (it == m_records.end() || it->second.isClosing)
         return;
     record &own = it->second;
-    own.body = std::string();
+    std::string().swap(own.body);
     own.charge.shrinkTo(bytes);
     if (!own.charge.growTo(bytes)) {
         if (const auto worst = findWorst(true); worst != m_records.end() && worst != it)
@@ -154,7 +154,7 @@
     if (it == m_records.end())
         return;
     record &own = it->second;
-    own.body = std::string();
+    std::string().swap(own.body);
     own.charge.shrinkTo(0);
     own.isRunning = false;
     own.progressAt = processNow();
--- a/src/rpc/rpc_server.cpp
+++ b/src/rpc/rpc_server.cpp
@@ -122,9 +122,10 @@
     /// Decides from the head whether the body is stored, and answers at once if it need not be
     /// read.
     MHD_Result handleHead(MHD_Connection *connection, const std::string &url,
-                          const std::string &method, exchange *current);
+                          const std::string &method, exchange *current) const;
     /// Stores or drops a part of the body. MHD_NO closes the connection.
-    MHD_Result handleBody(MHD_Connection *connection, std::string_view part, exchange *current);
+    MHD_Result handleBody(MHD_Connection *connection, std::string_view part,
+                          exchange *current) const;
     /// Handles a request whose body is complete. Sends the answer if there is one already.
     MHD_Result handleRequest(MHD_Connection *connection, const std::string &url,
                              const std::string &method, const std::shared_ptr<exchange> &current);
@@ -240,7 +241,7 @@
 
 MHD_Result rpc_server::implementation::handleHead(MHD_Connection *connection,
                                                   const std::string &url, const std::string &method,
-                                                  exchange *current)
+                                                  exchange *current) const
 {
     std::uint64_t length = 0;
     const char *lengthText = headerOf(connection, MHD_HTTP_HEADER_CONTENT_LENGTH);
@@ -273,7 +274,7 @@
 }
 
 MHD_Result rpc_server::implementation::handleBody(MHD_Connection *connection, std::string_view part,
-                                                  exchange *current)
+                                                  exchange *current) const
 {
     current->received += part.size();
     if (current->received > MaxDiscardedBodies * options.maxBodyBytes)
@@ -303,7 +304,7 @@
         if (current->answered) {
             connections->beginAnswer(connection, current->answer.body.size());
             const MHD_Result queued = respond(connection, current->answer);
-            current->answer.body = std::string(); // the response has a copy
+            std::string().swap(current->answer.body); // the response has a copy
             return queued;
         }
     }
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -107,7 +107,7 @@
     }
     m_received.erase(0, consumed);
     if (m_received.empty() && m_received.capacity() > MaxIdleBufferBytes)
-        m_received = std::string();
+        std::string().swap(m_received);
     return io_outcome::Ok;
 }
 
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -38,7 +38,8 @@
     /// Size of the buffer that holds the incomplete frame; 0 if there is none.
     std::size_t partialFrameBytes() const { return m_received.empty() ? 0 : m_received.capacity(); }
     /// Frees the bytes of the incomplete frame. The connection must be closed then.
-    void dropPartialFrame() { m_received = std::string(); }
+    /// An assignment of an empty string would keep the buffer.
+    void dropPartialFrame() { std::string().swap(m_received); }
     /// Writes as much as the socket accepts without blocking.
     io_outcome write();
     /// Reads the bytes that have arrived and calls `onFrame` for each complete frame.
--- a/tests/native_crowd_base.h
+++ b/tests/native_crowd_base.h
@@ -157,6 +157,7 @@
                   rlim_t maxDescriptors)
     {
         std::vector<char *> raw;
+        raw.reserve(arguments.size() + 1);
         for (std::string &argument : arguments)
             raw.push_back(argument.data());
         raw.push_back(nullptr);
--- a/tests/native_crowd_test.cpp
+++ b/tests/native_crowd_test.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <memory>
 #include <random>
+#include <utility>
 
 namespace hyssoppond {
 namespace {
@@ -63,7 +64,7 @@
 {
 protected:
     native_crowd_test()
-        : m_base(static_cast<std::uint16_t>(18400 + 3 * s_sites++))
+        : m_base(nextBasePort())
     {
         signal(SIGPIPE, SIG_IGN);
         rlimit limit {};
@@ -165,7 +166,13 @@
         expectServing(maxDescriptors);
     }
 
-    static inline int s_sites = 0;
+    /// First port of the next site; each has three.
+    static std::uint16_t nextBasePort()
+    {
+        static std::uint16_t next = 18400;
+        return std::exchange(next, static_cast<std::uint16_t>(next + 3));
+    }
+
     std::uint16_t m_base;
     std::string m_output = absl::StrCat(testing::TempDir(), "native-crowd-", getpid(), ".log");
     std::unique_ptr<child_process> m_log;
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -216,6 +216,7 @@
         (perAddress ? settings.maxConnectionsPerAddress : settings.maxConnections) = 4;
         test_peer destination("a", "127.0.0.1", settings);
         std::vector<file_descriptor> strangers;
+        strangers.reserve(10);
         for (int i = 0; i < 10; ++i)
             strangers.push_back(connectRaw(destination));
         test_peer source("b");
