--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -1,6 +1,7 @@
 /// @file One TCP connection that carries frames with a length prefix, with limits and deadlines.
 #pragma once
 
+#include "hyssoppond/base/client_budget_base.h"
 #include "socket.h"
 
 #include <absl/time/time.h>
@@ -8,6 +9,7 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -33,8 +35,11 @@
     std::size_t unsentFrames() const { return m_unsent.size(); }
     /// Removes and returns the frames not completely written, without their length prefix.
     std::deque<std::string> takeUnsent();
-    /// Received bytes of the incomplete frame.
-    std::size_t partialFrameBytes() const { return m_received.size(); }
+    /// Size of the buffer that holds the incomplete frame; 0 if there is none.
+    std::size_t partialFrameBytes() const { return m_received.empty() ? 0 : m_received.capacity(); }
+    /// Frees the bytes of the incomplete frame. The connection must be closed then.
+    /// An assignment of an empty string would keep the buffer.
+    void dropPartialFrame() { std::string().swap(m_received); }
     /// Writes as much as the socket accepts without blocking.
     io_outcome write();
     /// Reads the bytes that have arrived and calls `onFrame` for each complete frame.
@@ -47,8 +52,15 @@
     absl::Time probeAnswerDeadline = absl::InfiniteFuture(); ///< for the answer to the probe
     absl::Time idleDeadline = absl::InfiniteFuture();  ///< a connection without data is closed then
     absl::Time frameDeadline = absl::InfiniteFuture(); ///< to complete the frame being received
+    /// To send the first valid frame; InfiniteFuture once it was received.
+    absl::Time firstFrameDeadline = absl::InfiniteFuture();
+    bool isClosing = false;                ///< an incoming connection that will be removed
+    std::string peerHost;                  ///< numeric address of an incoming connection
+    std::unique_ptr<client_charge> charge; ///< bytes of the incomplete frame, if incoming
 
 private:
+    /// Appends received bytes; the buffer grows by doubling up to the size of the incomplete frame.
+    void append(std::string_view bytes);
     io_outcome extractFrames(const std::function<io_outcome(std::string_view)> &onFrame);
 
     file_descriptor m_socket;
@@ -56,6 +68,7 @@
     std::deque<std::string> m_unsent; ///< frames with length prefix
     std::size_t m_written = 0;        ///< bytes of the first unsent frame already written
     std::string m_received;
+    std::size_t m_wanted = 0; ///< size of the incomplete frame with its prefix, 0 if not known
 };
 
 } // namespace hyssoppond
