--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -21,6 +21,9 @@
     std::string configTopic;
     /// How long the keys of the teams stay valid without a read that confirms the configuration.
     absl::Duration apiKeyValidity = absl::Seconds(5);
+    /// Limit of reads of the store in flight for calls with unknown job ids. Each uses a connection
+    /// to the store and some 100 KB; further calls wait and then share one read.
+    std::size_t maxLookups = 32;
     scheduler_options scheduler;
     absl::Duration evacuateWithin = absl::InfiniteDuration(); ///< see decider_options
 };
@@ -97,6 +100,9 @@
     /// Handles a message of a peer. Those of the relay have no effect here.
     void receive(const peer_message &message);
 
+    /// The reply to a call that is refused without its job: it has no queue, no valid key or no
+    /// valid id, or the configuration is not known.
+    std::optional<job_reply> refusalOf(const job_call &call) const;
     /// Calls `respond` once, at once or when the store has answered.
     void handle(job_call call, const responder &respond);
     /// Whether new connections should come to this entry: it is not about to end, and has recently
@@ -131,6 +137,8 @@
                      const std::string &detail) const;
     void applyConfig(const std::vector<stored_record> &records);
     void applyJournal(const std::vector<stored_record> &records);
+    /// As refusalOf(), and finds the target of a call that is not refused.
+    std::optional<job_reply> findTarget(const job_call &call, routed_call *target) const;
     /// Finds the queue and the team of a call. Errors: UnknownEndpoint, UnknownTeam.
     result<routed_call> route(const job_call &call) const;
     const batch_team *teamWithKey(const std::string &key) const;
@@ -150,6 +158,24 @@
     void status(const routed_call &target, const job_call &call, const responder &respond);
     void cancel(const routed_call &target, const job_call &call, const responder &respond);
     void pending(const routed_call &target, const responder &respond) const;
+    /// A call that needs the journal as of now, or at least of its arrival.
+    /// Call about a job that this entry does not know.
+    struct lookup
+    {
+        absl::Time deadline; ///< of the answer
+        /// Called once; `current` tells whether the journal was read to its end.
+        std::function<void(bool current)> done;
+        bool isDone = false;
+    };
+    using lookup_batch = std::vector<std::shared_ptr<lookup>>;
+    static void finishLookup(lookup *call, bool current);
+    /// Has the journal read for `call`, at once or together with others.
+    void addLookup(std::shared_ptr<lookup> call);
+    /// Reads the journal once for all `batch`.
+    void startLookups(lookup_batch batch);
+    /// Answers the look-ups whose deadline has passed, also those that still wait for their read.
+    void expireLookups();
+    absl::Time nextLookupDeadline() const;
     /// Calls `found` with the job. Answers the call itself if the team has no such job, or if the
     /// store does not say so before `deadline`.
     void withJob(const routed_call &target, absl::Time deadline, const responder &respond,
@@ -168,6 +194,9 @@
     log_follower m_configFollower;
     log_follower m_journal;
     log_writer m_writer;
+    std::size_t m_lookups = 0; ///< in flight, see batch_entry_options::maxLookups
+    lookup_batch m_waitingLookups;
+    lookup_batch m_openLookups; ///< all that may not be answered yet
     batch_decider m_decider;
     admission_rule m_admission;
     /// Jobs whose record this entry has begun to write and that the journal has not shown yet, once
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -1,6 +1,7 @@
 /// @file One TCP connection.
 #include "connection.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -12,6 +13,8 @@
 // Reads from one connection in one iteration of the I/O loop. The limit keeps a busy connection
 // from delaying the others.
 constexpr int MaxReadsPerIteration = 4;
+// Buffer that a connection may keep between frames.
+constexpr std::size_t MaxIdleBufferBytes = 4096;
 
 std::size_t decodeLength(std::string_view prefix)
 {
@@ -67,7 +70,7 @@
             return io_outcome::Closed;
         if (bytesRead < 0)
             return errno == EAGAIN || errno == EINTR ? io_outcome::Ok : io_outcome::Closed;
-        m_received.append(buffer.data(), static_cast<std::size_t>(bytesRead));
+        append({buffer.data(), static_cast<std::size_t>(bytesRead)});
         if (const io_outcome outcome = extractFrames(onFrame); outcome != io_outcome::Ok)
             return outcome;
         if (static_cast<std::size_t>(bytesRead) < buffer.size())
@@ -76,22 +79,35 @@
     return io_outcome::Ok;
 }
 
+void connection::append(std::string_view bytes)
+{
+    const std::size_t size = m_received.size() + bytes.size();
+    if (size > m_received.capacity())
+        m_received.reserve(std::max(size, std::min(2 * m_received.capacity(), m_wanted)));
+    m_received.append(bytes);
+}
+
 io_outcome connection::extractFrames(const std::function<io_outcome(std::string_view)> &onFrame)
 {
     std::size_t consumed = 0;
+    m_wanted = 0;
     while (m_received.size() - consumed >= PrefixBytes) {
         const std::string_view rest = std::string_view(m_received).substr(consumed);
         const std::size_t length = decodeLength(rest);
         if (length > m_maxFrameBytes)
             return io_outcome::Malformed;
-        if (rest.size() < PrefixBytes + length)
+        if (rest.size() < PrefixBytes + length) {
+            m_wanted = PrefixBytes + length;
             break;
+        }
         if (const io_outcome outcome = onFrame(rest.substr(PrefixBytes, length));
             outcome != io_outcome::Ok)
             return outcome;
         consumed += PrefixBytes + length;
     }
     m_received.erase(0, consumed);
+    if (m_received.empty() && m_received.capacity() > MaxIdleBufferBytes)
+        std::string().swap(m_received);
     return io_outcome::Ok;
 }
 
