--- a/src/loop/connection_table.h
+++ b/src/loop/connection_table.h
@@ -44,7 +44,8 @@
 
 /// Keeps the connections within the limits. It closes those longest without progress, of equals the
 /// one that holds most: first those that stopped in a request or before their first, then, only
-/// for a new connection or a small request, those idle between two requests. Does no I/O and reads no clock.
+/// for a new connection or a small request, those idle between two requests. Does no I/O and reads
+/// no clock.
 class connection_table
 {
 public:
