--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -91,7 +91,7 @@
     std::int64_t expectedMs = 0; ///< run time on a worker of mean speed near the data
     /// Slowest worker on which the unit still ends in time or, if late, before it is of no use.
     double maxSlowness = 1.0;
-    bool reclaimDue = false; ///< its guarantee is missed unless runs are stopped now
+    bool reclaimDue = false; ///< its guarantee is about to be missed unless runs stop now
     bool guaranteed = false; ///< urgent, and its team's guarantee covers it
     /// Latest start to end within three times the objective.
     unix_ms lastStartMs = 0;
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -352,7 +352,10 @@
             unit.members = step.gang ? step.count : 1;
             unit.expectedMs = times.expectedMs(queue->name, step.estimateMs, job.job.team);
             unit.guaranteed = queue->priority == 0 && isGuaranteed(unit);
-            unit.reclaimDue = mustReclaim(unit);
+            // One that is missed already is ordered as other late work.
+            unit.reclaimDue = mustReclaim(unit)
+                && input.nowMs - job.job.submittedMs
+                    <= absl::ToInt64Milliseconds(options.reclaimWithin);
             // A late unit is still of use up to three times its objective.
             unit.latestStartMs = dueMs + objectiveMs - remainingMs;
             unit.lastStartMs = dueMs + 3 * objectiveMs - remainingMs;
