--- a/review/common-3/site3.py
+++ b/review/common-3/site3.py
@@ -738,6 +738,7 @@
 def main(site, case):
     """Runs the case, which returns the text of a broken rule or None, and exits with 1, 0 or 2."""
     async def run():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await site.start()
             return await asyncio.wait_for(case(site), 100)
@@ -745,9 +746,9 @@
             await site.stop()
     try:
         broken = asyncio.run(run())
-    except (CannotRun, TimeoutError, OSError) as problem:
-        site.record("the case could not run:", problem)
-        print("could not run:", problem)
+    except (Exception, asyncio.CancelledError) as problem:
+        site.record("the case could not run:", type(problem).__name__, problem)
+        print("could not run:", type(problem).__name__, problem)
         sys.exit(2)
     if broken:
         site.record("BROKEN", broken)
