Log quarantines, and earlier failures in the reason of an order

A unit that is not ordered again after a failure showed nothing in the log that tells a worker at rest from a worker that this unit may not use any more. The decider now logs each quarantine with its length and cause, and an order names the number of workers on which runs of the unit failed before. No decision changes.

--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -103,6 +104,13 @@
     bool goesFirst() const { return queue->priority == 0 && (lateness == 0 || guaranteed); }
 };
 
+/// A worker that gets no work for a time, because a run failed there or was refused.
+struct worker_quarantine
+{
+    absl::Time until;
+    std::uint32_t failures = 0; ///< consecutive failed runs; 0 after a refusal
+};
+
 /// Makes the plans. Between plans it keeps only learned run times, quarantines and claims.
 class batch_scheduler
 {
@@ -124,8 +132,10 @@
     std::vector<std::pair<process_id, speed_estimate>> takeChangedSpeeds(std::size_t limit);
     /// Learned run times and speeds.
     const item_time_model &times() const { return m_times; }
-    /// Sets or ends the quarantine of a worker according to the end of a run on it.
-    void observe(const ended_member &ended, const batch_state &state, absl::Time now);
+    /// Sets or ends the quarantine of a worker according to the end of a run on it. Returns the
+    /// quarantine if that end has set it.
+    std::optional<worker_quarantine> observe(const ended_member &ended, const batch_state &state,
+                                             absl::Time now);
     /// Decisions that are due, in the order in which they are to be recorded.
     std::vector<plan_decision> plan(const plan_input &input);
     /// Earliest time at which a plan could change without a new record.
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -89,14 +89,21 @@
     m_scheduler.learn(ended, *m_state);
     if (m_phase != phase::Deciding)
         return;
-    m_scheduler.observe(ended, *m_state, m_hooks.now());
-    if (!m_reloading) // a reload applies all earlier ends once more
-        logDecision(
-            "member ended",
-            absl::StrCat(toString(ended.unit), "/", ended.run, " member ", ended.member.index),
-            absl::StrCat(ended.member.agent.str(), " ", std::string(RunEndNames.name(ended.how)),
-                         ", by ", std::string(EndEvidenceNames.name(ended.evidence)), " at offset ",
-                         ended.offset, ", worker incarnation ", ended.member.workerStartMs));
+    const std::optional<worker_quarantine> quarantine
+        = m_scheduler.observe(ended, *m_state, m_hooks.now());
+    if (m_reloading)
+        return; // a reload applies all earlier ends once more
+    logDecision("member ended",
+                absl::StrCat(toString(ended.unit), "/", ended.run, " member ", ended.member.index),
+                absl::StrCat(ended.member.agent.str(), " ",
+                             std::string(RunEndNames.name(ended.how)), ", by ",
+                             std::string(EndEvidenceNames.name(ended.evidence)), " at offset ",
+                             ended.offset, ", worker incarnation ", ended.member.workerStartMs));
+    if (quarantine)
+        logDecision("worker quarantined", ended.member.agent.str(),
+                    absl::StrCat("for ", absl::FormatDuration(quarantine->until - m_hooks.now()),
+                                 ", ", quarantine->failures, " failed runs in a row, by ",
+                                 toString(ended.unit), "/", ended.run));
 }
 
 absl::Time batch_decider::nextDeadline() const
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -131,30 +131,32 @@
     m_replayedRuns.clear();
 }
 
-void batch_scheduler::observe(const ended_member &ended, const batch_state &state, absl::Time now)
+std::optional<worker_quarantine> batch_scheduler::observe(const ended_member &ended,
+                                                          const batch_state &state, absl::Time now)
 {
     quarantine_entry &quarantine = m_quarantines[ended.member.agent];
     if (ended.how == run_end::Done) {
         quarantine = {};
-        return;
+        return std::nullopt;
     }
     if (ended.how == run_end::NotStarted) {
         quarantine.until = std::max(quarantine.until, now + m_options.refusalQuarantine);
-        return;
+        return worker_quarantine {quarantine.until, quarantine.failures};
     }
     if (ended.how != run_end::Failed)
-        return;
+        return std::nullopt;
     const unit_state *unit = state.findUnit(ended.unit);
     if (unit != nullptr && unit->failedOn.size() >= FailedWorkersToBlameUnit) {
         for (const process_id &agent : unit->failedOn) {
             if (m_quarantines[agent].failures <= 1)
                 m_quarantines[agent] = {};
         }
-        return;
+        return std::nullopt;
     }
     const std::uint32_t doublings = std::min(quarantine.failures, MaxQuarantineDoublings);
     ++quarantine.failures;
     quarantine.until = now + m_options.failureQuarantine * (1U << doublings);
+    return worker_quarantine {quarantine.until, quarantine.failures};
 }
 
 std::vector<plan_decision> batch_scheduler::plan(const plan_input &input)
--- a/src/batch/plan_maker.cpp
+++ b/src/batch/plan_maker.cpp
@@ -125,12 +125,15 @@
 
 std::string plan_maker::describe(const waiting_unit &unit) const
 {
-    return absl::StrCat("latest start in ", unit.latestStartMs - input.nowMs, " ms, lateness ",
-                        static_cast<int>(unit.lateness),
-                        unit.startClass == start_class::InTime ? "" : ", put off in overload",
-                        ", expected ", unit.expectedMs, " ms, ",
-                        unit.guaranteed ? "guaranteed, " : "", freeAccelerators(),
-                        " accelerators free");
+    return absl::StrCat(
+        "latest start in ", unit.latestStartMs - input.nowMs, " ms, lateness ",
+        static_cast<int>(unit.lateness),
+        unit.startClass == start_class::InTime ? "" : ", put off in overload", ", expected ",
+        unit.expectedMs, " ms, ", unit.guaranteed ? "guaranteed, " : "", freeAccelerators(),
+        " accelerators free",
+        unit.state->failedOn.empty()
+            ? ""
+            : absl::StrCat(", failed on ", unit.state->failedOn.size(), " workers before"));
 }
 
 bool plan_maker::shouldSpanRacks(const waiting_unit &unit) const
