Failures of a unit bar a worker for seconds, and only if others can run it

Cause: unit_state::failedOn only grew, and the placement rule left out the workers in it while they were fewer than half of the site's. It did not ask whether another worker may run the unit, nor when the failure was.

Why this works: a failure has a time and the worker's incarnation now. Workers on which the unit failed are taken last. The quarantines have the same cause and the same change: they end with the incarnation, and failures that lie far apart no longer add up.

--- a/include/hyssoppond/batch/batch_scheduler_base.h
+++ b/include/hyssoppond/batch/batch_scheduler_base.h
@@ -144,8 +144,11 @@
 private:
     struct quarantine_entry
     {
+        unix_ms workerStartMs = 0; ///< incarnation of the worker that it is for
         absl::Time until = absl::InfinitePast();
         std::uint32_t failures = 0; ///< consecutive failed runs
+        /// A later failure counts as the first one: the worker has been sound in between.
+        absl::Time forgetFailuresAt = absl::InfiniteFuture();
     };
 
     /// A run whose time is known: of an item, or of a gang as a whole.
--- a/include/hyssoppond/batch/batch_state_base.h
+++ b/include/hyssoppond/batch/batch_state_base.h
@@ -30,6 +30,14 @@
     std::uint64_t orderOffset = 0; ///< of the record that ordered it
 };
 
+/// The newest run of a unit that failed on an agent.
+struct failed_run
+{
+    unix_ms workerStartMs = 0; ///< incarnation of the agent's worker that ran it
+    /// Time at which it failed, or an earlier one if its run time is not known.
+    unix_ms failedMs = 0;
+};
+
 /// An item, or a gang as a whole, with its runs.
 struct unit_state
 {
@@ -37,8 +45,9 @@
     std::uint32_t lastRun = 0;
     std::uint32_t failures = 0; ///< runs that ended as Failed
     std::optional<run_state> active;
-    std::string checkpoint;        ///< newest checkpoint that a run reported
-    std::set<process_id> failedOn; ///< agents on which a run failed
+    std::string checkpoint; ///< newest checkpoint that a run reported
+    /// Agents on which a run failed in the minute before the last failure.
+    std::map<process_id, failed_run> failedOn;
     unix_ms lastOrderedMs = 0;
 };
 
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -135,8 +135,9 @@
                                                           const batch_state &state, absl::Time now)
 {
     quarantine_entry &quarantine = m_quarantines[ended.member.agent];
+    if (ended.how == run_end::Done || quarantine.workerStartMs != ended.member.workerStartMs)
+        quarantine = {ended.member.workerStartMs};
     if (ended.how == run_end::Done) {
-        quarantine = {};
         return std::nullopt;
     }
     if (ended.how == run_end::NotStarted) {
@@ -147,15 +148,19 @@
         return std::nullopt;
     const unit_state *unit = state.findUnit(ended.unit);
     if (unit != nullptr && unit->failedOn.size() >= FailedWorkersToBlameUnit) {
-        for (const process_id &agent : unit->failedOn) {
+        for (const auto &[agent, failure] : unit->failedOn) {
             if (m_quarantines[agent].failures <= 1)
                 m_quarantines[agent] = {};
         }
         return std::nullopt;
     }
-    const std::uint32_t doublings = std::min(quarantine.failures, MaxQuarantineDoublings);
+    if (now >= quarantine.forgetFailuresAt)
+        quarantine.failures = 0;
+    const absl::Duration rest = m_options.failureQuarantine
+        * (1U << std::min(quarantine.failures, MaxQuarantineDoublings));
     ++quarantine.failures;
-    quarantine.until = now + m_options.failureQuarantine * (1U << doublings);
+    quarantine.until = now + rest;
+    quarantine.forgetFailuresAt = quarantine.until + rest;
     return worker_quarantine {quarantine.until, quarantine.failures};
 }
 
@@ -235,8 +240,9 @@
         worker.description = &announced.worker;
         worker.free = announced.worker.capacity;
         const auto quarantine = scheduler.m_quarantines.find(agent);
-        worker.quarantined
-            = quarantine != scheduler.m_quarantines.end() && quarantine->second.until > input.now;
+        worker.quarantined = quarantine != scheduler.m_quarantines.end()
+            && quarantine->second.workerStartMs == announced.worker.workerStartMs
+            && quarantine->second.until > input.now;
         worker.silent = input.silent.contains(agent);
         worker.evicted = input.state->isEvicted(agent);
         worker.slowness = times.slownessOf(agent);
--- a/src/batch/batch_state.cpp
+++ b/src/batch/batch_state.cpp
@@ -5,6 +5,22 @@
 
 namespace hyssoppond::batch {
 
+namespace {
+
+/// Failures of a unit that lie further apart have separate causes, in ms.
+constexpr unix_ms FailureMemoryMs = 60'000;
+
+void noteFailure(unit_state *unit, const run_member &member, std::int64_t runTimeMs)
+{
+    const failed_run failure {member.workerStartMs, unit->active->orderedMs + runTimeMs};
+    std::erase_if(unit->failedOn, [&](const auto &entry) {
+        return failure.failedMs - entry.second.failedMs > FailureMemoryMs;
+    });
+    unit->failedOn[member.agent] = failure;
+}
+
+} // namespace
+
 std::uint32_t unitCount(const batch_step &step)
 {
     return step.gang ? 1 : step.count;
@@ -252,7 +268,7 @@
     if (!checkpoint.empty())
         state->checkpoint = checkpoint;
     if (how == run_end::Failed)
-        state->failedOn.insert(member->member.agent);
+        noteFailure(state, member->member, runTimeMs);
     if (onMemberEnded)
         onMemberEnded(
             {unit, state->active->run, member->member, how, runTimeMs, evidence, m_offset});
--- a/src/batch/plan_fit.cpp
+++ b/src/batch/plan_fit.cpp
@@ -87,6 +87,7 @@
     {
         std::size_t worker;
         std::uint32_t capacity;
+        bool hasFailedUnit;
         int speedRank;
         resources available;
     };
@@ -99,7 +100,8 @@
         const std::uint32_t capacity = capacityFor(unit, workers[i], free);
         if (capacity == 0)
             continue;
-        candidates.push_back({i, capacity, speedRank(unit, workers[i]), free});
+        candidates.push_back({i, capacity, failureOn(unit, workers[i]) != nullptr,
+                              speedRank(unit, workers[i]), free});
         total += capacity;
     }
     if (total < unit.members)
@@ -108,6 +110,8 @@
     // for items that need all accelerators of one.
     std::stable_sort(candidates.begin(), candidates.end(),
                      [](const candidate &a, const candidate &b) {
+                         if (a.hasFailedUnit != b.hasFailedUnit)
+                             return b.hasFailedUnit;
                          if (a.speedRank != b.speedRank)
                              return a.speedRank < b.speedRank;
                          if (a.available.accelerators != b.available.accelerators)
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -79,6 +79,8 @@
     std::vector<unplaced_shape> unplaced = {};
     /// Queues that were looked up, by name; see configuredQueue().
     mutable absl::flat_hash_map<std::string_view, const queue_policy *> knownQueues = {};
+    /// See couldRunElsewhere().
+    mutable absl::flat_hash_map<const unit_state *, bool> runnableElsewhere = {};
     /// See membersOfStep().
     mutable absl::flat_hash_map<const step_state *, std::vector<std::uint32_t>> stepMembers = {};
 
@@ -134,6 +136,16 @@
     static bool mayTakeWorkAgain(const worker_availability &worker);
     /// True if `unit` may be ordered from the worker. The only rule of where work may go.
     bool isSuitable(const waiting_unit &unit, const worker_availability &worker) const;
+    /// True if the worker is of the unit's service and has the label that its step requires.
+    static bool meetsConstraints(const waiting_unit &unit, const worker_availability &worker);
+    /// Run of the unit that failed on this incarnation of the worker; null if none did lately.
+    static const failed_run *failureOn(const waiting_unit &unit, const worker_availability &worker);
+    /// True if a run of the unit failed on the worker so shortly ago that the unit waits for
+    /// another worker, if there is one.
+    bool avoids(const waiting_unit &unit, const worker_availability &worker) const;
+    /// True if the unit would fit on the workers that it does not avoid, if nothing but its own
+    /// step ran there. As of the first call for the unit in this plan.
+    bool couldRunElsewhere(const waiting_unit &unit) const;
     /// Members of `unit` that `available` on `worker` is enough for, at most the members of the
     /// unit.
     std::uint32_t capacityFor(const waiting_unit &unit, const worker_availability &worker,
--- a/tests/plan_site_base.h
+++ b/tests/plan_site_base.h
@@ -29,8 +29,11 @@
         m_config.teams.push_back({team_id("b"), {"key-b"}, 0});
         for (std::size_t i = 0; i < workers; ++i)
             announce(i);
-        m_state.onMemberEnded
-            = [this](const ended_member &ended) { m_scheduler.learn(ended, m_state); };
+        m_state.onMemberEnded = [this](const ended_member &ended) {
+            m_scheduler.learn(ended, m_state);
+            if (!m_isReloading)
+                m_scheduler.observe(ended, m_state, absl::FromUnixMillis(m_nowMs));
+        };
     }
 
     static process_id agentOf(std::size_t number)
@@ -107,6 +110,22 @@
         }
     }
 
+    /// Records the end of a gang's active run: `first` of the member `index`, then `others`.
+    void endGang(const std::string &id, std::uint32_t index, run_end first, run_end others)
+    {
+        const unit_id unit {job_id(id), 0, 0, 0};
+        const run_state run = *m_state.findUnit(unit)->active;
+        for (const bool isFirst : {true, false}) {
+            for (const member_state &one : run.members) {
+                if ((one.member.index == index) == isFirst)
+                    apply(run_ended {unit, run.run, one.member.index, one.member.agent,
+                                     isFirst ? first : others, ""});
+            }
+        }
+    }
+
+    job_status statusOf(const std::string &id) const { return m_state.find(job_id(id))->status(); }
+
     bool runs(const unit_id &unit) const { return m_state.findUnit(unit)->active.has_value(); }
 
     /// Advances the clock by `ms`, which may be negative.
@@ -154,6 +173,7 @@
     /// whose keys were written again since, come last.
     void reload()
     {
+        m_isReloading = true;
         m_scheduler.forgetRunTimes();
         m_state.clear();
         for (const bool announcements : {false, true}) {
@@ -163,6 +183,23 @@
             }
         }
         m_scheduler.learnReplayed(m_state);
+        m_isReloading = false;
+    }
+
+    /// Announces that a worker has other labels.
+    void setLabels(std::size_t number, std::vector<std::string> labels)
+    {
+        agent_announced announced = m_state.agents().at(agentOf(number));
+        announced.worker.labels = std::move(labels);
+        apply(announced);
+    }
+
+    /// Announces another incarnation of a worker.
+    void restart(std::size_t number)
+    {
+        agent_announced announced = m_state.agents().at(agentOf(number));
+        ++announced.worker.workerStartMs;
+        apply(announced);
     }
 
     /// Announces that a worker drains, and leaves in `leavesInMs` at the earliest.
@@ -212,6 +249,7 @@
     std::vector<batch_record> m_records;
     batch_state m_state;
     batch_scheduler m_scheduler;
+    bool m_isReloading = false;
     unix_ms m_nowMs = 1'000'000;
     std::uint64_t m_offset = 0;
 };
