Cancelling a job that is not recorded yet keeps it from running

A submission whose outcome is unknown can be recorded later by its entry, by a peer, or by the store after the entry has ended, and a repetition can arrive at any entry.

Change: the cancelling of an unknown job is recorded before it is acknowledged, as a job_cancelled with the caller's team and the time, under a key of its own for each team. A submission that the caller's team may access is void when it meets such a record, in either order. The decider records the cancelling of a job that was recorded all the same, so agents need not know more than before. In calm only the cancelling of an unknown job costs one more write. Records of other cancellations stay byte by byte as they were.

--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -157,6 +157,18 @@
     void recordJob(batch_job job, absl::Time callDeadline, const responder &respond);
     void status(const routed_call &target, const job_call &call, const responder &respond);
     void cancel(const routed_call &target, const job_call &call, const responder &respond);
+    /// Cancels a job that the journal holds.
+    void cancelKnown(const job_state &job, absl::Time deadline, const responder &respond);
+    /// Cancels a job that the journal does not hold, before its submission may be recorded after
+    /// all.
+    void cancelEarly(const routed_call &target, absl::Time deadline, const responder &respond);
+    /// Records a cancellation. `recordedReply` gives the reply once that is done.
+    void writeCancellation(const job_cancelled &cancelled, absl::Time deadline,
+                           const responder &respond,
+                           const std::function<job_reply()> &recordedReply);
+    static job_reply noJobReply();
+    /// Has the store drop early cancellations that no submission can follow any more.
+    void dropOldCancellations();
     void pending(const routed_call &target, const responder &respond) const;
     /// A call that needs the journal as of now, or at least of its arrival.
     /// Call about a job that this entry does not know.
@@ -176,10 +188,12 @@
     /// Answers the look-ups whose deadline has passed, also those that still wait for their read.
     void expireLookups();
     absl::Time nextLookupDeadline() const;
-    /// Calls `found` with the job. Answers the call itself if the team has no such job, or if the
-    /// store does not say so before `deadline`.
+    /// Calls `found` with the job, or `unknown` if the journal holds no job with its id. Answers
+    /// the call itself if the job is another team's, or if the store does not say before
+    /// `deadline`.
     void withJob(const routed_call &target, absl::Time deadline, const responder &respond,
-                 const std::function<void(const job_state &)> &found);
+                 const std::function<void(const job_state &)> &found,
+                 const std::function<void()> &unknown);
     /// Advised delay before a refused call is repeated.
     absl::Duration retryAfter() const;
 
@@ -202,6 +216,7 @@
     /// Jobs whose record this entry has begun to write and that the journal has not shown yet, once
     /// for each attempt that may still be recorded.
     std::multiset<job_id> m_recording;
+    absl::Time m_nextDropAt = absl::InfinitePast();        ///< see dropOldCancellations()
     absl::Time m_journalLoadedAt = absl::InfiniteFuture(); ///< for the first time
     bool m_leaving = false;
     absl::Time m_storeUnreachableSince = absl::InfiniteFuture();
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -47,14 +47,39 @@
     }
 };
 
+/// A caller cancelled a job whose submission was not recorded, although it may be written later: by
+/// an entry that waits for its outcome, by the store, or as a late repetition.
+struct early_cancellation
+{
+    team_id
+        team; ///< of the caller; empty: no valid key. Only jobs that it may access are cancelled
+    unix_ms cancelledMs = 0;
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(team, cancelledMs);
+    }
+};
+
 /// A caller cancelled a job.
 struct job_cancelled
 {
     job_id job;
+    std::optional<early_cancellation> early {}; ///< empty: the job was recorded
     template<class archive>
-    void serialize(archive &ar)
+    void save(archive &ar) const
+    {
+        ar(job);
+        if (early)
+            ar(*early);
+    }
+    /// Earlier versions refuse records with `early`; theirs end before it.
+    template<class archive>
+    void load(archive &ar)
     {
         ar(job);
+        if (ar.remaining() != 0)
+            ar(early.emplace());
     }
 };
 
@@ -260,6 +285,9 @@
 /// so that no end replaces an earlier one, which was the one to take effect.
 std::string keyOf(const run_ended &ended, incarnation_number agentIncarnation);
 
+/// Job of the early cancellation that is stored under `key`; empty for other records.
+std::optional<job_id> jobOfEarlyCancellation(std::string_view key);
+
 /// Encodes a record with version and checksum.
 std::string encodeRecord(const batch_record &record);
 /// Errors: those of decodeChecksummed.
--- a/include/hyssoppond/batch/batch_state_base.h
+++ b/include/hyssoppond/batch/batch_state_base.h
@@ -70,6 +70,9 @@
     /// Policy of its queue at the acceptance; null if an earlier version recorded the job.
     std::shared_ptr<const queue_policy> acceptedPolicy;
     bool cancelled = false;
+    /// It was cancelled before it was recorded, and no record says so that outlives the early
+    /// cancellation.
+    bool needsCancellation = false;
     bool failed = false;
     bool started = false;              ///< a run of some item was ordered
     std::uint32_t occurrencesLeft = 0; ///< occurrences that are not done
@@ -116,6 +119,17 @@
 
     const std::map<job_id, job_state> &jobs() const { return m_jobs; }
     const job_state *find(const job_id &id) const;
+    /// Applies that the store dropped the newest record of `key`.
+    void applyDrop(const std::string &key);
+    /// Early cancellations of a team: when each job was cancelled, by the clock of the entry.
+    using early_cancellations = std::map<job_id, unix_ms>;
+    /// By team.
+    const std::map<team_id, early_cancellations> &earlyCancellations() const
+    {
+        return m_earlyCancellations;
+    }
+    /// Whether a submission of the job for `team` is void, as it was cancelled before.
+    bool isCancelledEarly(const job_id &id, const team_id &team) const;
     const std::map<process_id, agent_announced> &agents() const { return m_agents; }
     bool isEvicted(const process_id &agent) const { return m_evicted.contains(agent); }
     const std::set<process_id> &evicted() const { return m_evicted; }
@@ -139,6 +153,7 @@
     std::function<void(const ended_member &)> onMemberEnded;
 
 private:
+    void cancel(job_state *job);
     void applyRecord(const job_submitted &record);
     void applyRecord(const job_cancelled &record);
     void applyRecord(const job_failed &record);
@@ -163,6 +178,7 @@
     std::map<job_id, job_state> m_jobs;
     /// Newest policy of each queue under which a job was accepted, by the name of the queue.
     std::map<std::string, std::shared_ptr<const queue_policy>> m_policies;
+    std::map<team_id, early_cancellations> m_earlyCancellations;
     std::map<process_id, agent_announced> m_agents;
     std::set<process_id> m_evicted;
     std::set<process_id> m_ending;
--- a/src/batch/batch_agent_journal.cpp
+++ b/src/batch/batch_agent_journal.cpp
@@ -88,7 +88,9 @@
         if (announced->agent == m_options.agent)
             onOwnAnnouncement(*announced, stored.offset);
     } else if (const auto *cancelled = std::get_if<job_cancelled>(&*decoded)) {
-        markUnwanted(cancelled->job);
+        // Whether an early one applies to the job only entries can tell, who then record another.
+        if (!cancelled->early)
+            markUnwanted(cancelled->job);
     } else if (const auto *failed = std::get_if<job_failed>(&*decoded)) {
         markUnwanted(failed->job);
     } else if (const auto *evacuation = std::get_if<zone_evacuated>(&*decoded)) {
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -491,6 +491,8 @@
                     basis);
     } else if (const auto *ended = std::get_if<run_ended>(&decision)) {
         logDecision("run given away", absl::StrCat(toString(ended->unit), "/", ended->run), basis);
+    } else if (const auto *cancelled = std::get_if<job_cancelled>(&decision)) {
+        logDecision("job cancelled", cancelled->job.str(), basis);
     } else if (const auto *failed = std::get_if<job_failed>(&decision)) {
         logDecision("job failed", failed->job.str(), basis);
     } else if (const auto *evicted = std::get_if<agent_evicted>(&decision)) {
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -116,8 +116,12 @@
     // records of its runs.
     for (const bool submissions : {true, false}) {
         for (const stored_record &storedRecord : records) {
-            if (storedRecord.value.empty() || storedRecord.key.starts_with("j:") != submissions)
+            if (storedRecord.key.starts_with("j:") != submissions)
                 continue;
+            if (storedRecord.value.empty()) {
+                m_state.applyDrop(storedRecord.key);
+                continue;
+            }
             const result<batch_record> record = decodeRecord(storedRecord.value);
             if (!record) {
                 logDecision("record ignored", storedRecord.key, record.error().message);
@@ -157,6 +161,7 @@
     m_writer.tick();
     m_decider.tick();
     expireLookups();
+    dropOldCancellations();
     const absl::Duration standbyInterval
         = m_options.wakeAddress.empty() ? StandbyReadInterval : StandbyReadIntervalWithWakes;
     m_journal.setMinReadInterval(m_decider.isDeciding() ? DecidingReadInterval : standbyInterval);
@@ -317,6 +322,12 @@
         respond(refusal(reason::LogUnavailable, "the platform's store does not answer; retry"));
         return;
     }
+    if (m_state.isCancelledEarly(id, target.team)) {
+        respond(replyFor({reason::RequestIdReused,
+                          "the job was cancelled before it was recorded; choose another id",
+                          execution::NotRun, absl::InfiniteFuture(), 0}));
+        return;
+    }
     batch_job job = std::move(*call.job);
     job.id = id;
     job.queue = target.queue->name;
@@ -330,30 +341,29 @@
 }
 
 void batch_entry::withJob(const routed_call &target, absl::Time deadline, const responder &respond,
-                          const std::function<void(const job_state &)> &found)
+                          const std::function<void(const job_state &)> &found,
+                          const std::function<void()> &unknown)
 {
     const job_id id(target.id);
-    const auto noJobReply = [] {
-        return replyFor({reason::UnknownJob, "no such job; submit it", execution::NotRun,
-                         absl::InfiniteFuture(), 0});
-    };
-    if (const job_state *known = m_state.find(id)) {
+    const auto answer = [target, respond, found](const job_state &known) {
         // A job of another team is answered as if it did not exist.
-        if (mayAccess(target, *known))
-            found(*known);
+        if (mayAccess(target, known))
+            found(known);
         else
             respond(noJobReply());
+    };
+    if (const job_state *known = m_state.find(id)) {
+        answer(*known);
         return;
     }
     // Another entry may have accepted the job since the last read of the journal.
     auto call = std::make_shared<lookup>();
     call->deadline = deadline - AnswerMargin;
-    call->done = [this, id, target, respond, found, noJobReply](bool current) {
-        const job_state *known = m_state.find(id);
-        if (known != nullptr && mayAccess(target, *known))
-            found(*known);
+    call->done = [this, id, respond, answer, unknown](bool current) {
+        if (const job_state *known = m_state.find(id))
+            answer(*known);
         else if (current)
-            respond(noJobReply());
+            unknown();
         else
             respond(refusal(reason::LogUnavailable,
                             "the store does not say whether the job exists; retry"));
@@ -361,52 +371,21 @@
     addLookup(std::move(call));
 }
 
+job_reply batch_entry::noJobReply()
+{
+    return replyFor({reason::UnknownJob, "no such job; submit it", execution::NotRun,
+                     absl::InfiniteFuture(), 0});
+}
+
 void batch_entry::status(const routed_call &target, const job_call &call, const responder &respond)
 {
-    withJob(target, call.deadline, respond, [respond](const job_state &job) {
+    const auto found = [respond](const job_state &job) {
         job_reply reply;
         reply.kind = reply_kind::Status;
         reply.status = job.status();
         respond(reply);
-    });
-}
-
-void batch_entry::cancel(const routed_call &target, const job_call &call, const responder &respond)
-{
-    const absl::Time deadline = call.deadline - AnswerMargin;
-    withJob(target, call.deadline, respond, [this, respond, deadline](const job_state &job) {
-        job_reply reply;
-        reply.kind = reply_kind::Cancelled;
-        if (job.cancelled) {
-            respond(reply);
-            return;
-        }
-        if (job.isOver()) {
-            respond(replyFor({reason::UnknownJob, "the job has ended; there is nothing to cancel",
-                              execution::Ran, absl::InfiniteFuture(), 0}));
-            return;
-        }
-        const job_id id = job.job.id;
-        const batch_record record = job_cancelled {id};
-        m_writer.write(
-            {{keyOf(record), encodeRecord(record), 0}}, deadline,
-            [this, id, respond, reply](write_result writeResult, std::uint64_t offset) {
-                job_reply answer = reply;
-                if (writeResult == write_result::Written) {
-                    logDecision("job cancelled", id.str(), absl::StrCat("offset ", offset));
-                } else if (writeResult == write_result::NotWritten) {
-                    answer = refusal(reason::LogUnavailable,
-                                     "the cancellation was not recorded; retry");
-                } else {
-                    answer.kind = reply_kind::Unknown;
-                    answer.why = reason::LogUnsettled;
-                    answer.message
-                        = "the store did not say whether the cancellation was recorded; repeat the "
-                          "call";
-                }
-                respond(answer);
-            });
-    });
+    };
+    withJob(target, call.deadline, respond, found, [respond] { respond(noJobReply()); });
 }
 
 void batch_entry::pending(const routed_call &target, const responder &respond) const
--- a/src/batch/batch_record.cpp
+++ b/src/batch/batch_record.cpp
@@ -3,6 +3,7 @@
 #include "hyssoppond/batch/batch_record_type.h"
 
 #include <absl/strings/str_cat.h>
+#include <xxhash.h>
 
 #include <algorithm>
 
@@ -16,10 +17,20 @@
 /// Largest record that is decoded, in bytes. The platform's store accepts records of up to 256 KiB.
 constexpr std::size_t MaxRecordBytes = 262'144;
 
+constexpr std::string_view EarlyCancellationPrefix = "x:";
+
 struct key_of_record
 {
     std::string operator()(const job_submitted &r) const { return "j:" + r.job.id.str(); }
-    std::string operator()(const job_cancelled &r) const { return "c:" + r.job.str(); }
+    std::string operator()(const job_cancelled &r) const
+    {
+        // No team's early cancellation replaces that of another one, or that of a recorded job.
+        if (!r.early)
+            return "c:" + r.job.str();
+        const std::string &team = r.early->team.str();
+        return absl::StrCat(std::string(EarlyCancellationPrefix), r.job.str(), ":",
+                            absl::Hex(XXH64(team.data(), team.size(), 0)));
+    }
     std::string operator()(const job_failed &r) const { return "f:" + r.job.str(); }
     std::string operator()(const run_ordered &r) const
     {
@@ -74,6 +85,15 @@
     return absl::StrCat(key_of_record {}(ended), ":", agentIncarnation);
 }
 
+std::optional<job_id> jobOfEarlyCancellation(std::string_view key)
+{
+    const std::size_t end = key.rfind(':');
+    if (!key.starts_with(EarlyCancellationPrefix) || end < EarlyCancellationPrefix.size())
+        return std::nullopt;
+    key = key.substr(0, end);
+    return job_id(std::string(key.substr(EarlyCancellationPrefix.size())));
+}
+
 std::string encodeRecord(const batch_record &record)
 {
     return encodeChecksummed(BatchRecordVersion, record);
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -169,6 +169,7 @@
     plan_maker maker {input, m_options, m_times};
     maker.collectJobs();
     maker.collectWorkers(*this);
+    maker.cancelLateSubmissions();
     maker.failExhaustedJobs();
     maker.stopBrokenRuns();
     maker.computeHeadroom();
@@ -283,6 +284,14 @@
     }
 }
 
+void plan_maker::cancelLateSubmissions()
+{
+    for (const auto &[id, job] : input.state->jobs()) {
+        if (job.needsCancellation)
+            decisions.push_back({job_cancelled {id}, "cancelled before it was recorded"});
+    }
+}
+
 void plan_maker::failExhaustedJobs()
 {
     for (const job_state *job : openJobs) {
--- a/src/batch/batch_state.cpp
+++ b/src/batch/batch_state.cpp
@@ -41,6 +41,7 @@
 {
     m_jobs.clear();
     m_policies.clear();
+    m_earlyCancellations.clear();
     m_agents.clear();
     m_evicted.clear();
     m_ending.clear();
@@ -127,18 +128,55 @@
         occurrence.stepsLeft = static_cast<std::uint32_t>(occurrence.steps.size());
         state.occurrences.push_back(std::move(occurrence));
     }
+    if (isCancelledEarly(state.job.id, state.job.team)) {
+        cancel(&state);
+        state.needsCancellation = true;
+    }
 }
 
-void batch_state::applyRecord(const job_cancelled &record)
+bool batch_state::isCancelledEarly(const job_id &id, const team_id &team) const
 {
-    const auto found = m_jobs.find(record.job);
-    if (found == m_jobs.end())
+    // Every caller may cancel a job of no team.
+    return std::any_of(
+        m_earlyCancellations.begin(), m_earlyCancellations.end(), [&](const auto &entry) {
+            return (team.str().empty() || entry.first == team) && entry.second.contains(id);
+        });
+}
+
+void batch_state::applyDrop(const std::string &key)
+{
+    const std::optional<job_id> job = jobOfEarlyCancellation(key);
+    if (!job)
         return;
+    for (auto &[team, jobs] : m_earlyCancellations) {
+        if (keyOf(job_cancelled {*job, early_cancellation {team, 0}}) == key)
+            jobs.erase(*job);
+    }
+}
+
+void batch_state::cancel(job_state *job)
+{
     // Also if the job is over: several entries may record a cancellation, and the store keeps the
     // last one, which may be later than the end of the job.
-    if (!found->second.isOver())
+    if (!job->isOver())
         ++m_jobsOver;
-    found->second.cancelled = true;
+    job->cancelled = true;
+}
+
+void batch_state::applyRecord(const job_cancelled &record)
+{
+    const auto found = m_jobs.find(record.job);
+    if (record.early) {
+        m_earlyCancellations[record.early->team][record.job] = record.early->cancelledMs;
+        if (found == m_jobs.end() || found->second.cancelled
+            || !isCancelledEarly(record.job, found->second.job.team))
+            return;
+        found->second.needsCancellation = true;
+    } else if (found != m_jobs.end()) {
+        found->second.needsCancellation = false;
+    }
+    if (found != m_jobs.end())
+        cancel(&found->second);
 }
 
 void batch_state::applyRecord(const job_failed &record)
--- a/src/batch/plan_maker.h
+++ b/src/batch/plan_maker.h
@@ -91,6 +91,8 @@
     /// Stops runs of which a member ended while none was done, and runs that are expected to end
     /// only after their worker leaves.
     void stopBrokenRuns();
+    /// Cancels jobs that were recorded after their cancelling. Agents know no early cancellations.
+    void cancelLateSubmissions();
     /// Fails jobs with a unit that used all its attempts.
     void failExhaustedJobs();
     /// Units that can start now, the most important first.
