An entry that is recording a job does not call it unknown

Callers saw 410 for a GET at the entry that was still writing their submission, and the job a moment later.

Test: batch_early_cancel_test.jobThatIsBeingRecordedIsNotUnknown failed before.

--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -385,7 +385,12 @@
         reply.status = job.status();
         respond(reply);
     };
-    withJob(target, call.deadline, respond, found, [respond] { respond(noJobReply()); });
+    withJob(target, call.deadline, respond, found, [this, target, respond] {
+        if (m_recording.contains(job_id(target.id)))
+            respond(refusal(reason::LogUnavailable, "the job is being recorded; retry"));
+        else
+            respond(noJobReply());
+    });
 }
 
 void batch_entry::pending(const routed_call &target, const responder &respond) const
--- a/tests/batch_early_cancel_test.cpp
+++ b/tests/batch_early_cancel_test.cpp
@@ -182,6 +182,17 @@
     EXPECT_EQ(answerTo("entry-1", call_kind::Submit), reply_kind::Malformed);
 }
 
+// Guards against "no such job" from the entry that is recording the job.
+TEST_F(batch_early_cancel_test, jobThatIsBeingRecordedIsNotUnknown)
+{
+    submitLate();
+    const auto reply = call("entry-0", call_kind::Status, "key");
+    m_site.clock.runFor(absl::Milliseconds(100));
+    EXPECT_NE(reply->kind, reply_kind::NoJob);
+    m_site.clock.runFor(absl::Seconds(3));
+    EXPECT_EQ(answerTo("entry-0", call_kind::Status), reply_kind::Status);
+}
+
 // Guards against a team that cancels jobs of another one before they are submitted.
 TEST_F(batch_early_cancel_test, otherTeamsJobIsNotCancelled)
 {
