A repeated submission is not refused as not run while the first may be recorded

Callers saw 503, which says that the job never runs, for a repetition at the entry that was still writing the first attempt: when the store was slow or silent, when the repetition was withdrawn from the writer's queue, or when the configuration was outdated. The job could be recorded and run afterwards.

The refusal was about the repetition alone, but a caller reads it as one about the job.

Change: while an earlier attempt of this entry is unsettled, a refusal becomes the answer for an unknown outcome (504, repeat the call). A stalled writer no longer refuses such a repetition at once, since the first attempt may settle in time for both.

Tests: batch_early_cancel_test.repetitionIsNotRefusedWhileTheFirstOneIsRecorded and ...WhileTheStoreIsSilent failed before.

--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -103,8 +103,8 @@
     /// The reply to a call that is refused without its job: it has no queue, no valid key or no
     /// valid id, or the configuration is not known.
     std::optional<job_reply> refusalOf(const job_call &call) const;
-    /// Calls `respond` once, at once or when the store has answered.
-    void handle(job_call call, const responder &respond);
+    /// Calls `answer` once, at once or when the store has answered.
+    void handle(job_call call, const responder &answer);
     /// Whether new connections should come to this entry: it is not about to end, and has recently
     /// read the journal and the configuration.
     bool isReady() const;
@@ -145,8 +145,13 @@
     /// True if the caller may see and cancel `job`: it is of the caller's team, or of nobody.
     static bool mayAccess(const routed_call &target, const job_state &job);
     static bool isJobId(const std::string &text);
+    static constexpr std::size_t JobIdDigits = 16;
     static job_reply replyFor(const error &problem);
     job_reply refusal(reason why, std::string message) const;
+    /// The reply to a submission, or unsettledReply() in place of a refusal that would say that the
+    /// job has not run while an earlier attempt of this entry may still be recorded.
+    job_reply withUnsettledAttempts(call_kind kind, const std::string &path, job_reply reply) const;
+    static job_reply unsettledReply();
     void submit(const routed_call &target, job_call call, const responder &respond);
     /// Refuses the job if it cannot be served any more; empty: it is to be recorded.
     std::optional<admission_refusal> admissionRefusal(const batch_job &job);
--- a/src/batch/batch_entry.cpp
+++ b/src/batch/batch_entry.cpp
@@ -240,7 +240,7 @@
 {
     routed_call target;
     if (std::optional<job_reply> refused = findTarget(call, &target))
-        return refused;
+        return withUnsettledAttempts(call.kind, call.path, std::move(*refused));
     // A repeat of a known submission is answered without its body: a refusal for lack of space
     // would say that the job has not run.
     if (call.kind == call_kind::Submit) {
@@ -271,8 +271,30 @@
     return std::nullopt;
 }
 
-void batch_entry::handle(job_call call, const responder &respond)
+job_reply batch_entry::withUnsettledAttempts(call_kind kind, const std::string &path,
+                                             job_reply reply) const
 {
+    // The id is the end of the path, also where the queue is not known.
+    const std::size_t idBegin = path.size() - std::min(path.size(), JobIdDigits);
+    const bool isSettled = kind != call_kind::Submit || reply.kind != reply_kind::Refused
+        || !m_recording.contains(job_id(path.substr(idBegin)));
+    return isSettled ? std::move(reply) : unsettledReply();
+}
+
+job_reply batch_entry::unsettledReply()
+{
+    job_reply reply;
+    reply.kind = reply_kind::Unknown;
+    reply.why = reason::LogUnsettled;
+    reply.message = "the store did not say whether the job was recorded; repeat the call";
+    return reply;
+}
+
+void batch_entry::handle(job_call call, const responder &answer)
+{
+    const responder respond = [this, answer, kind = call.kind, path = call.path](job_reply reply) {
+        answer(withUnsettledAttempts(kind, path, std::move(reply)));
+    };
     routed_call target;
     if (const std::optional<job_reply> refused = findTarget(call, &target)) {
         respond(*refused);
@@ -317,8 +339,9 @@
                         "this version does not serve queues with advice; use another queue"));
         return;
     }
-    if (!m_journal.isLoaded() || m_writer.isStalled(MaxStoreStall)
-        || m_storeUnreachableSince != absl::InfiniteFuture()) {
+    const bool storeFails = !m_journal.isLoaded() || m_writer.isStalled(MaxStoreStall)
+        || m_storeUnreachableSince != absl::InfiniteFuture();
+    if (storeFails && !m_recording.contains(id)) {
         respond(refusal(reason::LogUnavailable, "the platform's store does not answer; retry"));
         return;
     }
--- a/src/batch/batch_entry_route.cpp
+++ b/src/batch/batch_entry_route.cpp
@@ -8,13 +8,6 @@
 
 namespace hyssoppond::batch {
 
-namespace {
-
-/// Digits of a job id.
-constexpr std::size_t JobIdDigits = 16;
-
-} // namespace
-
 bool batch_entry::isJobId(const std::string &text)
 {
     return text.size() == JobIdDigits && std::all_of(text.begin(), text.end(), [](char c) {
--- a/src/batch/batch_entry_submit.cpp
+++ b/src/batch/batch_entry_submit.cpp
@@ -96,10 +96,7 @@
                     m_recording.erase(attempt);
                 reply = refusal(reason::LogUnavailable, "the job was not recorded; retry");
             } else {
-                reply.kind = reply_kind::Unknown;
-                reply.why = reason::LogUnsettled;
-                reply.message
-                    = "the store did not say whether the job was recorded; repeat the call";
+                reply = unsettledReply();
                 logDecision("job unsettled", id.str(), "the store did not confirm the record");
             }
             respond(reply);
--- a/tests/batch_early_cancel_test.cpp
+++ b/tests/batch_early_cancel_test.cpp
@@ -193,6 +193,34 @@
     EXPECT_EQ(answerTo("entry-0", call_kind::Status), reply_kind::Status);
 }
 
+// Guards against a repeated submission that is refused as not run while the entry still records the
+// first one, because the store is slow to answer.
+TEST_F(batch_early_cancel_test, repetitionIsNotRefusedWhileTheFirstOneIsRecorded)
+{
+    submitLate();
+    m_site.clock.runFor(absl::Milliseconds(250)); // the append counts as stalled
+    EXPECT_EQ(answerTo("entry-0", call_kind::Submit), reply_kind::Accepted);
+}
+
+// Guards against the same while the store answers nothing, so that the repetition is withdrawn and
+// then the configuration is outdated.
+TEST_F(batch_early_cancel_test, repetitionIsNotRefusedWhileTheStoreIsSilent)
+{
+    m_site.withoutDatagrams = {"entry-0"};
+    m_site.store.faults["entry-0"].silent = true;
+    call("entry-0", call_kind::Submit, "key");
+    m_site.clock.runFor(absl::Milliseconds(100));
+    for (int i = 0; i < 4; ++i) {
+        const auto repetition = call("entry-0", call_kind::Submit, "key");
+        m_site.clock.runFor(absl::Milliseconds(2'000));
+        EXPECT_EQ(repetition->kind, reply_kind::Unknown) << "repetition " << i;
+        EXPECT_NE(repetition->message, "") << "repetition " << i;
+    }
+    m_site.store.faults["entry-0"].silent = false;
+    m_site.clock.runFor(absl::Seconds(5));
+    EXPECT_EQ(answerTo("entry-1", call_kind::Status), reply_kind::Status);
+}
+
 // Guards against a team that cancels jobs of another one before they are submitted.
 TEST_F(batch_early_cancel_test, otherTeamsJobIsNotCancelled)
 {
