A job counts as begun when an item has started, not when it is ordered

Cause: job_state::started was set by the record of the order. An order may be refused, void, never answered, or sent to a machine that is gone.

Change: job_state::begun is set by the end of a run that had started, or by the new record job_begun.

Why this works: only the agent knows of the start, and a start cannot be undone, so the record is true whenever it is carried out. All entries and later deciders read it.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -80,8 +80,9 @@
     {
         std::string payload;
         std::string checkpoint;
-        absl::Time receivedAt;                         ///< when the order was read
-        absl::Time startedAt = absl::InfiniteFuture(); ///< when the worker confirmed the start
+        absl::Time receivedAt;                           ///< when the order was read
+        absl::Time startedAt = absl::InfiniteFuture();   ///< when the worker confirmed the start
+        absl::Time tellStartAt = absl::InfiniteFuture(); ///< when its job is recorded as begun
         bool stale = false;            ///< the order may be much older than `receivedAt`
         unix_ms workerStartMs = 0;     ///< identifies the worker incarnation of the order
         std::uint64_t orderOffset = 0; ///< of the order in the journal
@@ -119,6 +120,9 @@
     /// Forgets the unread ends that were handed over since.
     void pruneUnreadEnds();
     void markUnwanted(const job_id &job);
+    /// Records the jobs that have begun with a start on this worker, unless others did so.
+    void recordBegunJobs();
+    void noteBegun(const job_id &job);
     /// Epoch for a process that starts now.
     std::uint64_t clockEpoch() const;
     /// Records that this process is the agent now. From then on the store refuses what earlier
@@ -272,6 +276,11 @@
     std::optional<agent_announced> m_newestAnnouncement;
     std::uint64_t m_newestAnnouncementOffset = 0;
     std::set<job_id> m_endedJobs; ///< cancelled or failed
+    /// Jobs that are known to have begun, the newest ones that were noted, and in that order.
+    std::set<job_id> m_begunJobs;
+    std::deque<job_id> m_begunJobsInOrder;
+    std::uint64_t m_begunAppends = 0;
+    bool m_recordingBegun = false;
     std::map<process_id, std::string> m_entryAddresses;
     std::set<std::pair<unit_id, std::uint32_t>> m_stoppingRuns;
 
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -275,9 +275,23 @@
     }
 };
 
-using batch_record = std::variant<job_submitted, job_cancelled, job_failed, run_ordered,
-                                  run_stopping, run_ended, process_started, agent_announced,
-                                  agent_evicted, decider_granted, process_ending, zone_evacuated>;
+/// An item of a job has started on a worker. Recorded by its agent some time later, unless the
+/// agent has read that the job has begun.
+struct job_begun
+{
+    job_id job;
+    process_id agent;
+    template<class archive>
+    void serialize(archive &ar)
+    {
+        ar(job, agent);
+    }
+};
+
+using batch_record
+    = std::variant<job_submitted, job_cancelled, job_failed, run_ordered, run_stopping, run_ended,
+                   process_started, agent_announced, agent_evicted, decider_granted, process_ending,
+                   zone_evacuated, job_begun>;
 
 /// Key under which the store keeps `record`, at most 255 bytes.
 std::string keyOf(const batch_record &record);
--- a/include/hyssoppond/batch/batch_state_base.h
+++ b/include/hyssoppond/batch/batch_state_base.h
@@ -74,7 +74,7 @@
     /// cancellation.
     bool needsCancellation = false;
     bool failed = false;
-    bool started = false;              ///< a run of some item was ordered
+    bool begun = false;                ///< an item has started on a worker
     std::uint32_t occurrencesLeft = 0; ///< occurrences that are not done
     std::vector<occurrence_state> occurrences;
     std::uint32_t activeRuns = 0;
@@ -146,7 +146,7 @@
     std::vector<unit_id> runsOn(const process_id &agent) const;
     /// Null if there is no such job or unit; find() likewise.
     const unit_state *findUnit(const unit_id &unit) const;
-    /// Number of open jobs of `queue` that are not scheduled for later and have not started.
+    /// Number of open jobs of `queue` that are not scheduled for later and have not begun.
     std::size_t pendingJobs(const std::string &queue) const;
 
     /// Called for each member that ends.
@@ -166,6 +166,7 @@
     void applyRecord(const decider_granted &record);
     void applyRecord(const process_ending &record);
     void applyRecord(const zone_evacuated &record);
+    void applyRecord(const job_begun &record);
 
     /// A shared copy of `policy`. Most jobs of a queue were accepted under the same one.
     std::shared_ptr<const queue_policy> sharedPolicy(const queue_policy &policy);
--- a/include/hyssoppond/batch/batch_type.h
+++ b/include/hyssoppond/batch/batch_type.h
@@ -150,6 +150,12 @@
 inline constexpr name_table<run_end, 8> RunEndNames {
     {"Done", "Failed", "Stopped", "Lapsed", "Broken", "Alone", "NotStarted", "Lost"}};
 
+/// True if a run that ended so had started on its worker. One that was lost may have, or not.
+inline bool hadStarted(run_end how)
+{
+    return how != run_end::NotStarted && how != run_end::Lost;
+}
+
 /// State of a job as callers see it.
 enum class job_status : std::uint8_t { Queued, Running, Completed, Failed, Cancelled };
 
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -194,6 +194,7 @@
         if (m_hooks.now() >= m_heartbeatAt)
             sendHeartbeat();
     }
+    recordBegunJobs();
     if (!m_confirmDue)
         m_confirmBefore = absl::InfiniteFuture();
     if (wantsPoll() && !m_polling && m_hooks.now() >= m_pollAt)
@@ -224,6 +225,9 @@
         if (m_synced && m_announced && isCurrent(run) && run.unwanted && !run.stopSent
             && run.state == phase::Running)
             next = std::min(next, run.stopRetryAt);
+        if (run.state == phase::Running && !m_recordingBegun && m_sessionConfirmed
+            && !m_begunJobs.contains(id.unit.job))
+            next = std::min(next, run.tellStartAt);
     }
     return next;
 }
--- a/src/batch/batch_agent_journal.cpp
+++ b/src/batch/batch_agent_journal.cpp
@@ -74,6 +74,8 @@
         for (auto &[id, run] : m_runs)
             run.unwanted = run.unwanted || (id.unit == stopping->unit && id.run == stopping->run);
     } else if (const auto *ended = std::get_if<run_ended>(&*decoded)) {
+        if (hadStarted(ended->how))
+            noteBegun(ended->unit.job);
         if (ended->agent == m_options.agent)
             markEnded({ended->unit, ended->member, ended->run});
     } else if (const auto *started = std::get_if<process_started>(&*decoded)) {
@@ -91,6 +93,8 @@
         // Whether an early one applies to the job only entries can tell, who then record another.
         if (!cancelled->early)
             markUnwanted(cancelled->job);
+    } else if (const auto *begun = std::get_if<job_begun>(&*decoded)) {
+        noteBegun(begun->job);
     } else if (const auto *failed = std::get_if<job_failed>(&*decoded)) {
         markUnwanted(failed->job);
     } else if (const auto *evacuation = std::get_if<zone_evacuated>(&*decoded)) {
--- a/src/batch/batch_record.cpp
+++ b/src/batch/batch_record.cpp
@@ -31,6 +31,7 @@
         return absl::StrCat(std::string(EarlyCancellationPrefix), r.job.str(), ":",
                             absl::Hex(XXH64(team.data(), team.size(), 0)));
     }
+    std::string operator()(const job_begun &r) const { return "b:" + r.job.str(); }
     std::string operator()(const job_failed &r) const { return "f:" + r.job.str(); }
     std::string operator()(const run_ordered &r) const
     {
--- a/src/batch/batch_state.cpp
+++ b/src/batch/batch_state.cpp
@@ -34,7 +34,7 @@
         return job_status::Failed;
     if (occurrencesLeft == 0)
         return job_status::Completed;
-    return started ? job_status::Running : job_status::Queued;
+    return begun ? job_status::Running : job_status::Queued;
 }
 
 void batch_state::clear()
@@ -96,7 +96,7 @@
     return static_cast<std::size_t>(
         std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto &entry) {
             const job_state &job = entry.second;
-            return job.job.queue == queue && job.job.repeats == 0 && !job.started && !job.isOver();
+            return job.job.queue == queue && job.job.repeats == 0 && !job.begun && !job.isOver();
         }));
 }
 
@@ -213,7 +213,6 @@
     }
     unit->active = std::move(run);
     job_state &job = m_jobs.at(record.unit.job);
-    job.started = true;
     ++job.activeRuns;
     job.activeUnits.insert(record.unit);
     // A member ordered for an earlier incarnation of its worker is lost at once.
@@ -268,6 +267,12 @@
     m_evacuations[record.zone] = record;
 }
 
+void batch_state::applyRecord(const job_begun &record)
+{
+    if (const auto found = m_jobs.find(record.job); found != m_jobs.end())
+        found->second.begun = true;
+}
+
 void batch_state::applyRecord(const agent_announced &record)
 {
     m_agents[record.agent] = record;
@@ -305,6 +310,8 @@
     member->end = how;
     if (!checkpoint.empty())
         state->checkpoint = checkpoint;
+    if (hadStarted(how))
+        m_jobs.at(unit.job).begun = true;
     if (how == run_end::Failed)
         noteFailure(state, member->member, runTimeMs);
     if (onMemberEnded)
--- a/tests/batch_suspend_test.cpp
+++ b/tests/batch_suspend_test.cpp
@@ -42,8 +42,10 @@
     }
 
     /// Runs items on the worker of agent-0, suspends that agent while its lease is fresh, and cuts
-    /// it off for good. `phase` shifts the suspension against the heartbeats of the agent.
-    void suspendAnAgentWithRuns(suspended_clock processClock, absl::Duration phase)
+    /// it off for good. `phase` shifts the suspension against the heartbeats of the agent, and
+    /// `readPhase` its reads of the journal against its polls of the worker.
+    void suspendAnAgentWithRuns(suspended_clock processClock, absl::Duration phase,
+                                absl::Duration readPhase)
     {
         start(2, 2);
         fake_item_worker &worker = *m_site->workers.at("agent-0");
@@ -52,7 +54,10 @@
         m_site->workers.at("agent-1")->setDraining(0);
         m_site->clock.runFor(absl::Seconds(2));
         m_site->submit("entry-0", batch_site::idOf(1), "normal", batch_site::stepOf(2, 2, false));
-        m_site->clock.runFor(absl::Seconds(4) + phase);
+        // A read ends with a new record; this one has no effect.
+        m_site->clock.runFor(absl::Seconds(2) + readPhase);
+        m_site->store.put(JournalTopic, "none", "");
+        m_site->clock.runFor(absl::Seconds(2) - readPhase + phase);
         ASSERT_EQ(worker.running(), 2U);
         const std::size_t calls = worker.calls;
         while (worker.calls == calls)
@@ -85,6 +90,25 @@
         return *reply;
     }
 
+    /// Suspends an agent in all phases, and returns the breaches of all of them.
+    std::vector<std::string> breachesOfSuspensions(suspended_clock processClock)
+    {
+        std::vector<std::string> breaches;
+        for (absl::Duration readPhase; readPhase < LongestPoll;
+             readPhase += absl::Milliseconds(250)) {
+            for (absl::Duration phase; phase < LongestPoll; phase += absl::Milliseconds(100)) {
+                suspendAnAgentWithRuns(processClock, phase, readPhase);
+                breaches.insert(breaches.end(), m_site->history.breaches.begin(),
+                                m_site->history.breaches.end());
+                if (processClock == suspended_clock::GoesOn) {
+                    EXPECT_EQ(m_site->history.starts, 4U)
+                        << "the runs of the suspended agent were not given away";
+                }
+            }
+        }
+        return breaches;
+    }
+
     std::unique_ptr<batch_site> m_site;
 };
 
@@ -92,26 +116,16 @@
 // the store, takes its last read of the journal for younger than it is.
 TEST_F(batch_suspend_test, suspendedAgentKeepsTheLeaseRule)
 {
-    for (absl::Duration phase; phase < LongestPoll; phase += absl::Milliseconds(100)) {
-        suspendAnAgentWithRuns(suspended_clock::GoesOn, phase);
-        EXPECT_THAT(m_site->history.breaches, IsEmpty())
-            << m_site->decisionsAbout(batch_site::idOf(1));
-        EXPECT_EQ(m_site->history.starts, 4U)
-            << "the runs of the suspended agent were not given away";
-    }
+    EXPECT_THAT(breachesOfSuspensions(suspended_clock::GoesOn), IsEmpty())
+        << m_site->decisionsAbout(batch_site::idOf(1));
 }
 
 // Guards against a schedule that does not show the fault of the test above: with a clock that
 // stands still during a suspension, the items run twice.
 TEST_F(batch_suspend_test, agentNeedsAClockThatCountsSuspendedTime)
 {
-    std::vector<std::string> breaches;
-    for (absl::Duration phase; phase < LongestPoll; phase += absl::Milliseconds(100)) {
-        suspendAnAgentWithRuns(suspended_clock::StandsStill, phase);
-        breaches.insert(breaches.end(), m_site->history.breaches.begin(),
-                        m_site->history.breaches.end());
-    }
-    EXPECT_THAT(breaches, Contains(HasSubstr("has 2 runs")));
+    EXPECT_THAT(breachesOfSuspensions(suspended_clock::StandsStill),
+                Contains(HasSubstr("has 2 runs")));
 }
 
 // Guards against revoked keys that an entry accepts for too long after it was suspended.
