--- a/include/hyssoppond/batch/batch_decider_base.h
+++ b/include/hyssoppond/batch/batch_decider_base.h
@@ -196,6 +196,7 @@
     std::vector<std::unique_ptr<log_writer>> m_retiredWriters;
     bool m_recording = false;
     bool m_reloading = false; ///< the journal is being applied from the newest record of each key
+    std::uint64_t m_endsReadTo = 0; ///< offset after the newest record that ended a member
     absl::Time m_nextSpeedLogAt = absl::InfinitePast();
     std::uint64_t m_recordedTo = 0; ///< offset after the newest record of this decider
     bool m_planDue = false;
--- a/src/batch/batch_decider.cpp
+++ b/src/batch/batch_decider.cpp
@@ -87,12 +87,13 @@
 void batch_decider::onMemberEnded(const ended_member &ended)
 {
     m_scheduler.learn(ended, *m_state);
-    if (m_phase != phase::Deciding)
+    // A load applies earlier ends once more.
+    const bool isRepeated = m_reloading && ended.offset < m_endsReadTo;
+    m_endsReadTo = std::max(m_endsReadTo, ended.offset + 1);
+    if (m_phase != phase::Deciding || isRepeated)
         return;
     const std::optional<worker_quarantine> quarantine
         = m_scheduler.observe(ended, *m_state, m_hooks.now());
-    if (m_reloading)
-        return; // a reload applies all earlier ends once more
     logDecision("member ended",
                 absl::StrCat(toString(ended.unit), "/", ended.run, " member ", ended.member.index),
                 absl::StrCat(ended.member.agent.str(), " ",
--- a/tests/batch_decider_test.cpp
+++ b/tests/batch_decider_test.cpp
@@ -168,5 +168,42 @@
     EXPECT_THAT(m_site->history.breaches, IsEmpty());
 }
 
+// Guards against a worker that rests once more for failures of long ago, because the decider loads
+// the journal again.
+TEST(batch_decider_reload_test, loadOfTheJournalSetsNoQuarantine)
+{
+    batch_site site(1, 1, 1);
+    site.datagramLoss = 1.0;
+    site.clock.runFor(absl::Seconds(5));
+    fake_item_worker &worker = *site.workers.at("agent-0");
+    worker.itemTime = absl::Milliseconds(100);
+    worker.faults.failAll = true;
+    for (std::uint64_t i = 1; i <= 3; ++i)
+        site.submit("entry-0", batch_site::idOf(i), "normal", batch_site::stepOf(1, 1, false));
+    site.clock.runFor(absl::Seconds(2));
+    for (std::uint64_t i = 1; i <= 3; ++i)
+        site.call("entry-0", call_kind::Cancel, "/normal/" + batch_site::idOf(i));
+    worker.faults.failAll = false;
+    site.clock.runFor(absl::Seconds(60));
+
+    // The records that the decider would have to read next expire.
+    site.store.faults["entry-0"].silentReadsOf = JournalTopic;
+    site.store.keptRecords = 3;
+    for (int i = 0; i < 10; ++i)
+        site.store.put(JournalTopic, "none", "");
+    site.clock.runFor(absl::Seconds(2));
+    site.store.faults["entry-0"].silentReadsOf.clear();
+    site.clock.runFor(absl::Seconds(6));
+    const std::string decisions = site.decisionsAbout("none");
+    ASSERT_NE(decisions.rfind("entry-0: journal loaded"), decisions.find("entry-0: journal loaded"))
+        << decisions;
+
+    site.submit("entry-0", batch_site::idOf(4), "normal", batch_site::stepOf(1, 1, false));
+    site.clock.runFor(absl::Seconds(2));
+    EXPECT_EQ(site.entries.at("entry-0")->node->state().find(job_id(batch_site::idOf(4)))->status(),
+              job_status::Completed)
+        << site.decisionsAbout(batch_site::idOf(4));
+}
+
 } // namespace
 } // namespace hyssoppond::batch
