Records of begun jobs are put off while the store does not answer in time

The refusal of further early cancellations advises to return when the oldest one is dropped, in place of 1 to 3 s.

--- a/include/hyssoppond/batch/batch_agent_base.h
+++ b/include/hyssoppond/batch/batch_agent_base.h
@@ -80,9 +80,9 @@
     {
         std::string payload;
         std::string checkpoint;
-        absl::Time receivedAt;                           ///< when the order was read
-        absl::Time startedAt = absl::InfiniteFuture();   ///< when the worker confirmed the start
-        absl::Time tellStartAt = absl::InfiniteFuture(); ///< when its job is recorded as begun
+        absl::Time receivedAt;                             ///< when the order was read
+        absl::Time startedAt = absl::InfiniteFuture();     ///< when the worker confirmed the start
+        absl::Time recordBegunAt = absl::InfiniteFuture(); ///< when its job is recorded as begun
         bool stale = false;            ///< the order may be much older than `receivedAt`
         unix_ms workerStartMs = 0;     ///< identifies the worker incarnation of the order
         std::uint64_t orderOffset = 0; ///< of the order in the journal
@@ -122,7 +122,13 @@
     void markUnwanted(const job_id &job);
     /// Records the jobs that have begun with a start on this worker, unless others did so.
     void recordBegunJobs();
+    /// Jobs whose record is due. Sets when those of new runs are due.
+    std::set<job_id> dueBegunJobs();
+    void appendBegunJobs(const std::set<job_id> &jobs);
     void noteBegun(const job_id &job);
+    /// Whether the store has not answered the last heartbeats in time, so that other appends of
+    /// less use would only be more load on it.
+    bool isStoreSlow() const;
     /// Epoch for a process that starts now.
     std::uint64_t clockEpoch() const;
     /// Records that this process is the agent now. From then on the store refuses what earlier
@@ -280,6 +286,7 @@
     std::set<job_id> m_begunJobs;
     std::deque<job_id> m_begunJobsInOrder;
     std::uint64_t m_begunAppends = 0;
+    std::uint32_t m_failedBegunAppends = 0; ///< in a row
     bool m_recordingBegun = false;
     std::map<process_id, std::string> m_entryAddresses;
     std::set<std::pair<unit_id, std::uint32_t>> m_stoppingRuns;
--- a/include/hyssoppond/batch/batch_entry_base.h
+++ b/include/hyssoppond/batch/batch_entry_base.h
@@ -175,7 +175,6 @@
     /// Has the store drop early cancellations that no submission can follow any more.
     void dropOldCancellations();
     void pending(const routed_call &target, const responder &respond) const;
-    /// A call that needs the journal as of now, or at least of its arrival.
     /// Call about a job that this entry does not know.
     struct lookup
     {
--- a/include/hyssoppond/batch/batch_record_type.h
+++ b/include/hyssoppond/batch/batch_record_type.h
@@ -51,8 +51,7 @@
 /// an entry that waits for its outcome, by the store, or as a late repetition.
 struct early_cancellation
 {
-    team_id
-        team; ///< of the caller; empty: no valid key. Only jobs that it may access are cancelled
+    team_id team; ///< of the caller, who cancels only jobs of this team and of none; empty: no key
     unix_ms cancelledMs = 0;
     template<class archive>
     void serialize(archive &ar)
--- a/src/batch/batch_agent.cpp
+++ b/src/batch/batch_agent.cpp
@@ -227,7 +227,7 @@
             next = std::min(next, run.stopRetryAt);
         if (run.state == phase::Running && !m_recordingBegun && m_sessionConfirmed
             && !m_begunJobs.contains(id.unit.job))
-            next = std::min(next, run.tellStartAt);
+            next = std::min(next, run.recordBegunAt);
     }
     return next;
 }
--- a/src/batch/batch_entry_cancel.cpp
+++ b/src/batch/batch_entry_cancel.cpp
@@ -3,6 +3,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace hyssoppond::batch {
@@ -56,8 +57,15 @@
     const std::size_t count
         = ofTeam == m_state.earlyCancellations().end() ? 0 : ofTeam->second.size();
     if (count >= MaxEarlyCancellations && !ofTeam->second.contains(id)) {
-        respond(refusal(reason::Overloaded,
-                        "the team has cancelled too many unknown jobs; retry later"));
+        unix_ms oldestMs = absl::ToUnixMillis(m_hooks.wallNow());
+        for (const auto &[job, cancelledMs] : ofTeam->second)
+            oldestMs = std::min(oldestMs, cancelledMs);
+        job_reply reply = refusal(reason::Overloaded,
+                                  "the team has cancelled too many unknown jobs; retry later");
+        reply.retryAfter = std::max(reply.retryAfter,
+                                    absl::FromUnixMillis(oldestMs) + EarlyCancellationLifetime
+                                        - m_hooks.wallNow());
+        respond(reply);
         return;
     }
     // The submission may have been recorded just before. Then the job is cancelled by this record.
--- a/tests/batch_begun_job_test.cpp
+++ b/tests/batch_begun_job_test.cpp
@@ -175,6 +175,29 @@
     expectPendingFor(absl::Seconds(1), 0);
 }
 
+// Guards against agents that keep a store busy which does not answer, with ever more records of the
+// same start.
+TEST_F(batch_begun_job_test, recordIsRepeatedLessAndLessOften)
+{
+    startSite(1);
+    submit(1, 1);
+    ASSERT_EQ(m_site->history.starts, 1U);
+    m_site->withoutDatagrams = {"agent-0"};
+    m_site->store.faults["agent-0"].silentAppendsTo = {JournalTopic};
+    std::size_t appends = 0;
+    store_port &direct = m_site->agents.at("agent-0")->direct;
+    direct.append = [&appends, append = direct.append](const append_request &request, auto done) {
+        appends += request.records.front().key.starts_with("b:") ? 1 : 0;
+        append(request, done);
+    };
+    m_site->clock.runFor(absl::Seconds(20));
+    EXPECT_GE(appends, 2U);
+    EXPECT_LE(appends, 6U);
+    m_site->store.faults["agent-0"].silentAppendsTo.clear();
+    m_site->clock.runFor(absl::Seconds(9));
+    expectPendingFor(absl::Seconds(1), 0);
+}
+
 // Guards against a record for each item of a wide job, which the store would have to take.
 TEST_F(batch_begun_job_test, wideJobsAddFewRecords)
 {
