Comments of two limits say what they do

The lifetime of an early cancellation and the time from which the store counts as slow were explained by how they were chosen. Comments only; batch_early_* and batch_begun_* pass.

--- a/src/batch/batch_agent_begin.cpp
+++ b/src/batch/batch_agent_begin.cpp
@@ -22,7 +22,7 @@
 /// Time limit of an append.
 constexpr absl::Duration AppendTimeout = absl::Milliseconds(1000);
 
-/// The store answers within 4 ms, or 300 ms where it is slow.
+/// The store counts as slow while a heartbeat has been without an answer for this long.
 constexpr absl::Duration SlowAnswerTime = absl::Milliseconds(100);
 
 /// Jobs that are remembered as begun. A job that is forgotten is recorded once more.
--- a/src/batch/batch_entry_cancel.cpp
+++ b/src/batch/batch_entry_cancel.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// A submission of unknown outcome is settled long before: this outlasts the outages of the store
-/// and the cuts of an entry that the platform has.
+/// Time after which the store drops an early cancellation. A submission that is recorded later than
+/// that is not void.
 constexpr absl::Duration EarlyCancellationLifetime = absl::Hours(1);
 
 /// Limit for each team. One takes some 200 bytes in each entry and in the store.
